--- /dev/null
+++ b/announcer/announcer.go
@@ -0,0 +1,310 @@
+// Package announcer tells the instances of the system apart from those that
+// have failed. Every instance probes one other at a time, asks others to probe
+// for it before it suspects, and spreads what it learns on the probes
+// themselves, so that the cost of an instance does not grow with their number.
+//
+// Table is the deciding part; Announcer runs it over HTTP.
+package announcer
+
+import (
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"cranberrystack.dev/cranberrystack/identifier"
+)
+
+// State is what an instance is held to be.
+type State string
+
+// The states, in the order in which they replace each other within one
+// incarnation.
+const (
+	StateAlive   State = "alive"
+	StateSuspect State = "suspect"
+	StateDead    State = "dead"
+	// StateLeft is set by an instance that shuts down as planned.
+	StateLeft State = "left"
+)
+
+// rank orders the states of one incarnation.
+func (s State) rank() int {
+	switch s {
+	case StateAlive:
+		return 0
+	case StateSuspect:
+		return 1
+	case StateDead:
+		return 2
+	}
+	return 3
+}
+
+// Member is what is known of one instance.
+type Member struct {
+	ID         identifier.InstanceID   `json:"id"`
+	Address    string                  `json:"address"`
+	DataCenter identifier.DataCenterID `json:"data-center"`
+	Region     identifier.RegionID     `json:"region"`
+	Roles      []string                `json:"roles"`
+	// Incarnation is raised only by the instance itself.
+	Incarnation identifier.Incarnation `json:"incarnation"`
+	State       State                  `json:"state"`
+	// Index is the index of the view in force there, as last heard.
+	Index uint64 `json:"index"`
+}
+
+// Has reports whether the instance has a role.
+func (m *Member) Has(role string) bool {
+	for _, own := range m.Roles {
+		if own == role {
+			return true
+		}
+	}
+	return false
+}
+
+// Config sets up a table.
+type Config struct {
+	// SuspectTimeout is the time from suspicion to death.
+	SuspectTimeout time.Duration
+	// UnheardTimeout is the time after which an instance that hears others
+	// but gets no answers holds itself for unheard.
+	UnheardTimeout time.Duration
+	// Repeats is how often an update is passed on.
+	Repeats int
+	Random  *rand.Rand
+}
+
+type record struct {
+	member Member
+	// since is when the state was entered.
+	since time.Time
+	// repeats counts how often the update still has to be passed on.
+	repeats int
+}
+
+// Table is the deciding part. It is not safe for concurrent use.
+type Table struct {
+	config  Config
+	self    Member
+	records map[identifier.InstanceID]*record
+	order   []identifier.InstanceID
+	next    int
+	// answered is when another instance last answered a probe from here, and
+	// contacted when another last sent one to here.
+	answered  time.Time
+	contacted time.Time
+}
+
+// NewTable returns a table that knows the seeds, which are held for alive
+// until a probe says otherwise.
+func NewTable(config Config, self Member, seeds []Member, now time.Time) *Table {
+	self.State = StateAlive
+	t := &Table{config: config, self: self, records: map[identifier.InstanceID]*record{}, answered: now, contacted: now}
+	for _, seed := range seeds {
+		if seed.ID == self.ID {
+			continue
+		}
+		seed.State = StateAlive
+		t.add(seed, now)
+	}
+	return t
+}
+
+func (t *Table) add(member Member, now time.Time) {
+	t.records[member.ID] = &record{member: member, since: now, repeats: t.config.Repeats}
+	place := 0
+	if len(t.order) > 0 {
+		place = t.config.Random.IntN(len(t.order) + 1)
+	}
+	t.order = append(t.order, "")
+	copy(t.order[place+1:], t.order[place:])
+	t.order[place] = member.ID
+}
+
+// Self returns this instance.
+func (t *Table) Self() Member { return t.self }
+
+// SetIndex notes the index of the view in force here.
+func (t *Table) SetIndex(index uint64) {
+	t.self.Index = max(t.self.Index, index)
+}
+
+// Leave marks this instance as shutting down.
+func (t *Table) Leave() {
+	t.self.State = StateLeft
+	t.self.Incarnation++
+}
+
+// Members returns all instances but this one, in order of their ids.
+func (t *Table) Members() []Member {
+	members := make([]Member, 0, len(t.records))
+	for _, r := range t.records {
+		members = append(members, r.member)
+	}
+	sort.Slice(members, func(i, j int) bool { return members[i].ID < members[j].ID })
+	return members
+}
+
+// Member returns one instance.
+func (t *Table) Member(id identifier.InstanceID) (Member, bool) {
+	if id == t.self.ID {
+		return t.self, true
+	}
+	r, known := t.records[id]
+	if !known {
+		return Member{}, false
+	}
+	return r.member, true
+}
+
+// Unheard reports whether others reach this instance while its own probes get
+// no answers.
+func (t *Table) Unheard(now time.Time) bool {
+	if len(t.records) == 0 {
+		return false
+	}
+	silent := now.Sub(t.answered) >= t.config.UnheardTimeout
+	return silent && now.Sub(t.contacted) < t.config.UnheardTimeout
+}
+
+// Next returns the instance to probe now. Dead ones get their turn too, so
+// that both sides of a healed partition find each other.
+func (t *Table) Next(now time.Time) (Member, bool) {
+	t.expire(now)
+	for range t.order {
+		id := t.order[t.next%len(t.order)]
+		t.next++
+		if t.records[id].member.State != StateLeft {
+			return t.records[id].member, true
+		}
+	}
+	return Member{}, false
+}
+
+func (t *Table) expire(now time.Time) {
+	for _, r := range t.records {
+		if r.member.State == StateSuspect && now.Sub(r.since) >= t.config.SuspectTimeout {
+			t.enter(r, StateDead, now)
+		}
+	}
+}
+
+func (t *Table) enter(r *record, state State, now time.Time) {
+	r.member.State = state
+	r.since = now
+	r.repeats = t.config.Repeats
+}
+
+// Answered notes an answer to a probe.
+func (t *Table) Answered(member Member, now time.Time) {
+	t.answered = now
+	t.heard(member, now)
+}
+
+// Contacted notes a probe from another instance.
+func (t *Table) Contacted(member Member, now time.Time) {
+	t.contacted = now
+	t.heard(member, now)
+}
+
+// heard takes an instance's own word about itself. That it is heard at all
+// ends a suspicion of the same incarnation.
+func (t *Table) heard(member Member, now time.Time) {
+	if member.ID == t.self.ID || member.ID == "" {
+		return
+	}
+	r, known := t.records[member.ID]
+	if !known {
+		t.add(member, now)
+		return
+	}
+	if member.Incarnation < r.member.Incarnation {
+		return
+	}
+	changed := member.State != r.member.State || member.Incarnation > r.member.Incarnation
+	index := max(member.Index, r.member.Index)
+	r.member = member
+	r.member.Index = index
+	if changed {
+		t.enter(r, member.State, now)
+	}
+}
+
+// Failed notes that neither a probe nor those sent through others got an
+// answer.
+func (t *Table) Failed(id identifier.InstanceID, now time.Time) {
+	r, known := t.records[id]
+	if known && r.member.State == StateAlive {
+		t.enter(r, StateSuspect, now)
+	}
+}
+
+// Helpers returns up to count live instances that can probe for this one.
+func (t *Table) Helpers(target identifier.InstanceID, count int) []Member {
+	var live []Member
+	for _, member := range t.Members() {
+		if member.ID != target && member.State == StateAlive {
+			live = append(live, member)
+		}
+	}
+	t.config.Random.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	return live[:min(count, len(live))]
+}
+
+// Merge takes updates that another instance passed on. A suspicion of this
+// instance itself is answered by a higher incarnation.
+func (t *Table) Merge(updates []Member, now time.Time) {
+	for _, update := range updates {
+		if update.ID == t.self.ID {
+			t.refute(update)
+			continue
+		}
+		r, known := t.records[update.ID]
+		if !known {
+			t.add(update, now)
+			continue
+		}
+		if !replaces(update, r.member) {
+			r.member.Index = max(r.member.Index, update.Index)
+			continue
+		}
+		index := max(update.Index, r.member.Index)
+		r.member = update
+		r.member.Index = index
+		t.enter(r, update.State, now)
+	}
+}
+
+func replaces(update, current Member) bool {
+	if update.Incarnation != current.Incarnation {
+		return update.Incarnation > current.Incarnation
+	}
+	return update.State.rank() > current.State.rank()
+}
+
+func (t *Table) refute(update Member) {
+	wrong := update.State != t.self.State || update.Address != t.self.Address
+	if update.Incarnation > t.self.Incarnation || (update.Incarnation == t.self.Incarnation && wrong) {
+		t.self.Incarnation = update.Incarnation + 1
+	}
+}
+
+// Updates returns up to count updates to pass on, those passed on least often
+// first.
+func (t *Table) Updates(count int) []Member {
+	var pending []*record
+	for _, id := range t.order {
+		if t.records[id].repeats > 0 {
+			pending = append(pending, t.records[id])
+		}
+	}
+	sort.SliceStable(pending, func(i, j int) bool { return pending[i].repeats > pending[j].repeats })
+	var updates []Member
+	for _, r := range pending[:min(count, len(pending))] {
+		r.repeats--
+		updates = append(updates, r.member)
+	}
+	return updates
+}
--- /dev/null
+++ b/claimer/group.go
@@ -0,0 +1,468 @@
+package claimer
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"cranberrystack.dev/cranberrystack/configurer"
+	"cranberrystack.dev/cranberrystack/identifier"
+	"cranberrystack.dev/cranberrystack/messenger"
+	"cranberrystack.dev/cranberrystack/responder"
+)
+
+const (
+	claimPath   = "/peer/claimer/claim"
+	finishPath  = "/peer/claimer/finish"
+	releasePath = "/peer/claimer/release"
+	activePath  = "/peer/claimer/active"
+	statePath   = "/peer/claimer/state"
+	dumpPath    = "/peer/claimer/dump"
+	fetchPath   = "/peer/claimer/fetch"
+
+	maxMessageBytes = 128 << 20
+	recoverInterval = 500 * time.Millisecond
+)
+
+// Peer is another instance of the claim group.
+type Peer struct {
+	ID      identifier.InstanceID
+	Address string
+}
+
+type claimMessage struct {
+	Claim    Claim                `json:"claim"`
+	Replaces identifier.AttemptID `json:"replaces,omitempty"`
+}
+
+type releaseMessage struct {
+	ID      ID                   `json:"id"`
+	Attempt identifier.AttemptID `json:"attempt"`
+}
+
+type activeMessage struct {
+	Attempt identifier.AttemptID `json:"attempt"`
+}
+
+type activeAnswer struct {
+	Active bool `json:"active"`
+}
+
+type stateAnswer struct {
+	Ready       bool                   `json:"ready"`
+	Incarnation identifier.Incarnation `json:"incarnation"`
+}
+
+type dumpAnswer struct {
+	Ready  bool    `json:"ready"`
+	Claims []Claim `json:"claims"`
+}
+
+// Seams are what a claimer needs of the rest of the process.
+type Seams struct {
+	// Group returns the data centre's claim group as the log has it.
+	Group func() configurer.ClaimGroup
+	// Propose asks the voters to start the claim table with nothing in it.
+	Propose func(ctx context.Context, group configurer.ClaimGroup) error
+}
+
+// Claimer is one instance's part of a claim group. It is safe for concurrent
+// use.
+type Claimer struct {
+	self        identifier.InstanceID
+	incarnation identifier.Incarnation
+	dataCenter  identifier.DataCenterID
+	peers       []Peer
+	messenger   *messenger.Messenger
+	options     options
+	seams       Seams
+
+	// mu guards the fields below. It is never held during I/O.
+	mu    sync.Mutex
+	table *Table
+	// ready is false until the table holds every claim that a majority may
+	// have granted.
+	ready  bool
+	active map[identifier.AttemptID]bool
+
+	stop chan struct{}
+	done sync.WaitGroup
+}
+
+// New returns a claimer that still has to recover. peers are the other
+// instances of the group, the same on every instance.
+func New(self identifier.InstanceID, incarnation identifier.Incarnation, dataCenter identifier.DataCenterID, peers []Peer, m *messenger.Messenger, seams Seams, opts ...Option) *Claimer {
+	o := newOptions(opts...)
+	return &Claimer{
+		self: self, incarnation: incarnation, dataCenter: dataCenter, peers: peers,
+		messenger: m, options: o, seams: seams,
+		table:  NewTable(o.keep, o.maxBytes),
+		active: map[identifier.AttemptID]bool{},
+		stop:   make(chan struct{}),
+	}
+}
+
+// Start begins to recover the claims from the group.
+func (c *Claimer) Start() {
+	c.done.Go(c.recover)
+}
+
+// Stop ends the recovery.
+func (c *Claimer) Stop() {
+	close(c.stop)
+	c.done.Wait()
+}
+
+// Ready reports whether the instance has recovered.
+func (c *Claimer) Ready() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ready
+}
+
+// Usage returns the size of the table.
+func (c *Claimer) Usage() Usage {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Usage()
+}
+
+func (c *Claimer) majority() int {
+	return (len(c.peers)+1)/2 + 1
+}
+
+// Lookup returns the claim that this instance knows of.
+func (c *Claimer) Lookup(id ID) (Claim, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Get(id)
+}
+
+// Acquire claims a key for an attempt on a majority of the group. If the key
+// is taken it returns the existing claim and false. replaces names an attempt
+// that is known not to have run. Errors: ErrNoQuorum, ErrFull.
+func (c *Claimer) Acquire(ctx context.Context, wanted Claim, replaces identifier.AttemptID) (Claim, bool, error) {
+	wanted.Holder = c.self
+	wanted.State = StateClaimed
+	c.mu.Lock()
+	if !c.ready {
+		c.mu.Unlock()
+		return Claim{}, false, ErrNoQuorum
+	}
+	own := c.table.Claim(wanted, replaces, time.Now())
+	c.active[wanted.Attempt] = own.Granted
+	c.mu.Unlock()
+	if !own.Granted {
+		c.Done(wanted.Attempt)
+	}
+	if own.Full {
+		return Claim{}, false, ErrFull
+	}
+	if own.Existing != nil {
+		return *own.Existing, false, nil
+	}
+	granted, existing := c.ask(ctx, wanted, replaces)
+	if granted+1 >= c.majority() {
+		return wanted, true, nil
+	}
+	c.Release(wanted.ID, wanted.Attempt)
+	if existing != nil {
+		return *existing, false, nil
+	}
+	return Claim{}, false, ErrNoQuorum
+}
+
+// ask sends the wish to all others and returns the number of grants as soon as
+// they suffice or all have answered.
+func (c *Claimer) ask(ctx context.Context, wanted Claim, replaces identifier.AttemptID) (int, *Claim) {
+	answers := make(chan Grant, len(c.peers))
+	message := claimMessage{Claim: wanted, Replaces: replaces}
+	for _, peer := range c.peers {
+		go func() {
+			var grant Grant
+			c.call(ctx, peer, claimPath, message, &grant)
+			answers <- grant
+		}()
+	}
+	granted := 0
+	var existing *Claim
+	for range c.peers {
+		if granted+1 >= c.majority() {
+			break
+		}
+		grant := <-answers
+		if grant.Granted {
+			granted++
+		}
+		if grant.Existing != nil && (existing == nil || grant.Existing.State != StateClaimed) {
+			existing = grant.Existing
+		}
+	}
+	return granted, existing
+}
+
+func (c *Claimer) call(ctx context.Context, peer Peer, path string, in, out any) bool {
+	callCtx, cancel := context.WithTimeout(ctx, c.options.callTimeout)
+	defer cancel()
+	return c.messenger.Post(callCtx, peer.Address, path, in, out) == nil
+}
+
+// Finish keeps the outcome of a claimed request on the group. It returns once
+// a majority has it or all have been tried.
+func (c *Claimer) Finish(claim Claim) {
+	c.mu.Lock()
+	c.table.Finish(claim, time.Now())
+	delete(c.active, claim.Attempt)
+	c.mu.Unlock()
+	kept := make(chan bool, len(c.peers))
+	for _, peer := range c.peers {
+		go func() {
+			kept <- c.call(context.Background(), peer, finishPath, claim, nil)
+		}()
+	}
+	count := 1
+	for range c.peers {
+		if count >= c.majority() {
+			return
+		}
+		if <-kept {
+			count++
+		}
+	}
+}
+
+// Release gives a key back whose attempt did not run and never will.
+func (c *Claimer) Release(id ID, attempt identifier.AttemptID) {
+	c.mu.Lock()
+	c.table.Release(id, attempt)
+	delete(c.active, attempt)
+	c.mu.Unlock()
+	var calls sync.WaitGroup
+	for _, peer := range c.peers {
+		calls.Go(func() {
+			c.call(context.Background(), peer, releasePath, releaseMessage{ID: id, Attempt: attempt}, nil)
+		})
+	}
+	calls.Wait()
+}
+
+// Done notes that an attempt is not being run here any more.
+func (c *Claimer) Done(attempt identifier.AttemptID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.active, attempt)
+}
+
+// Running reports whether the holder of a claim still works on it. A holder
+// that can't be reached counts as not working; the caller has to fence the
+// attempt at its upstream before it acts on that.
+func (c *Claimer) Running(ctx context.Context, claim Claim) bool {
+	if claim.Holder == c.self {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.active[claim.Attempt]
+	}
+	for _, peer := range c.peers {
+		if peer.ID != claim.Holder {
+			continue
+		}
+		var answer activeAnswer
+		c.call(ctx, peer, activePath, activeMessage{Attempt: claim.Attempt}, &answer)
+		return answer.Active
+	}
+	return false
+}
+
+// Fetch asks the whole group for a claim and returns the one that says most.
+func (c *Claimer) Fetch(ctx context.Context, id ID) (Claim, bool) {
+	best, known := c.Lookup(id)
+	if known && best.State != StateClaimed {
+		return best, true
+	}
+	for _, peer := range c.peers {
+		var answer fetchAnswer
+		if c.call(ctx, peer, fetchPath, fetchMessage{ID: id}, &answer) && answer.Known {
+			if !known || answer.Claim.State != StateClaimed {
+				best, known = answer.Claim, true
+			}
+		}
+	}
+	return best, known
+}
+
+// Routes adds the handlers that the group calls.
+func (c *Claimer) Routes(router gin.IRouter) {
+	router.POST(claimPath, c.handleClaim)
+	router.POST(finishPath, c.handleFinish)
+	router.POST(releasePath, c.handleRelease)
+	router.POST(activePath, c.handleActive)
+	router.POST(fetchPath, c.handleFetch)
+	router.GET(statePath, c.handleState)
+	router.GET(dumpPath, c.handleDump)
+}
+
+type fetchMessage struct {
+	ID ID `json:"id"`
+}
+
+type fetchAnswer struct {
+	Known bool  `json:"known"`
+	Claim Claim `json:"claim"`
+}
+
+func (c *Claimer) handleClaim(g *gin.Context) {
+	var message claimMessage
+	if !responder.Decode(g, maxMessageBytes, &message) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ready {
+		g.Status(http.StatusServiceUnavailable)
+		return
+	}
+	g.JSON(http.StatusOK, c.table.Claim(message.Claim, message.Replaces, time.Now()))
+}
+
+func (c *Claimer) handleFinish(g *gin.Context) {
+	var claim Claim
+	if !responder.Decode(g, maxMessageBytes, &claim) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.Finish(claim, time.Now())
+	g.Status(http.StatusNoContent)
+}
+
+func (c *Claimer) handleRelease(g *gin.Context) {
+	var message releaseMessage
+	if !responder.Decode(g, maxMessageBytes, &message) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.Release(message.ID, message.Attempt)
+	g.Status(http.StatusNoContent)
+}
+
+func (c *Claimer) handleActive(g *gin.Context) {
+	var message activeMessage
+	if !responder.Decode(g, maxMessageBytes, &message) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	g.JSON(http.StatusOK, activeAnswer{Active: c.active[message.Attempt]})
+}
+
+func (c *Claimer) handleFetch(g *gin.Context) {
+	var message fetchMessage
+	if !responder.Decode(g, maxMessageBytes, &message) {
+		return
+	}
+	claim, known := c.Lookup(message.ID)
+	g.JSON(http.StatusOK, fetchAnswer{Known: known, Claim: claim})
+}
+
+func (c *Claimer) handleState(g *gin.Context) {
+	g.JSON(http.StatusOK, stateAnswer{Ready: c.Ready(), Incarnation: c.incarnation})
+}
+
+func (c *Claimer) handleDump(g *gin.Context) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	answer := dumpAnswer{Ready: c.ready}
+	if c.ready {
+		answer.Claims = c.table.All()
+	}
+	g.JSON(http.StatusOK, answer)
+}
+
+// recover fills the table. An instance that has restarted knows nothing of
+// what it granted before, so it grants nothing until it has copied from
+// enough others that every claim of a majority is among what it read.
+func (c *Claimer) recover() {
+	for !c.tryRecover() {
+		select {
+		case <-c.stop:
+			return
+		case <-time.After(recoverInterval):
+		}
+	}
+}
+
+func (c *Claimer) tryRecover() bool {
+	group := c.seams.Group()
+	if group.Starters[c.self] == c.incarnation && group.Generation > 0 {
+		c.becomeReady(nil)
+		return true
+	}
+	needed := len(c.peers) + 1 - c.majority() + 1
+	var claims []Claim
+	copied := 0
+	for _, peer := range c.peers {
+		answer, err := c.dump(peer)
+		if err != nil || !answer.Ready {
+			continue
+		}
+		claims = append(claims, answer.Claims...)
+		copied++
+	}
+	if copied > 0 && copied >= min(needed, len(c.peers)) {
+		c.becomeReady(claims)
+		return true
+	}
+	if group.Generation == 0 {
+		c.proposeStart(group)
+	}
+	return false
+}
+
+func (c *Claimer) dump(peer Peer) (dumpAnswer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), c.options.callTimeout*4)
+	defer cancel()
+	var answer dumpAnswer
+	if err := c.messenger.Get(ctx, peer.Address, dumpPath, &answer); err != nil {
+		return dumpAnswer{}, fmt.Errorf("copy claims from %s: %w", peer.ID, err)
+	}
+	return answer, nil
+}
+
+func (c *Claimer) becomeReady(claims []Claim) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.Load(claims, time.Now())
+	c.ready = true
+}
+
+// proposeStart asks for an empty table if the data centre never had one. All
+// of the group have to be up, since an absent one may know claims.
+func (c *Claimer) proposeStart(group configurer.ClaimGroup) {
+	starters := map[identifier.InstanceID]identifier.Incarnation{c.self: c.incarnation}
+	for _, peer := range c.peers {
+		state, err := c.state(peer)
+		if err != nil || state.Ready {
+			return
+		}
+		starters[peer.ID] = state.Incarnation
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.options.callTimeout*4)
+	defer cancel()
+	next := configurer.ClaimGroup{DataCenter: c.dataCenter, Generation: group.Generation + 1, Starters: starters}
+	_ = c.seams.Propose(ctx, next)
+}
+
+func (c *Claimer) state(peer Peer) (stateAnswer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), c.options.callTimeout)
+	defer cancel()
+	var answer stateAnswer
+	if err := c.messenger.Get(ctx, peer.Address, statePath, &answer); err != nil {
+		return stateAnswer{}, fmt.Errorf("ask %s for its claims: %w", peer.ID, err)
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/claimer/options.go
@@ -0,0 +1,39 @@
+package claimer
+
+import "time"
+
+const (
+	// DefaultKeep is how long an answer is kept.
+	DefaultKeep = 6 * time.Hour
+	// DefaultMaxBytes bounds a table.
+	DefaultMaxBytes = 48 << 20
+	// DefaultCallTimeout bounds one call to another instance of the group.
+	DefaultCallTimeout = 400 * time.Millisecond
+)
+
+type options struct {
+	keep        time.Duration
+	maxBytes    int64
+	callTimeout time.Duration
+}
+
+// Option changes how a claimer behaves.
+type Option func(*options)
+
+func newOptions(opts ...Option) options {
+	o := options{keep: DefaultKeep, maxBytes: DefaultMaxBytes, callTimeout: DefaultCallTimeout}
+	for _, apply := range opts {
+		apply(&o)
+	}
+	return o
+}
+
+// Keep sets how long an answer is kept.
+func Keep(keep time.Duration) Option {
+	return func(o *options) { o.keep = keep }
+}
+
+// MaxBytes bounds a table.
+func MaxBytes(limit int64) Option {
+	return func(o *options) { o.maxBytes = limit }
+}
--- /dev/null
+++ b/configurer/checker.go
@@ -0,0 +1,263 @@
+package configurer
+
+import (
+	"errors"
+	"fmt"
+	"sort"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/rotisserie/eris"
+
+	"cranberrystack.dev/cranberrystack/identifier"
+	"cranberrystack.dev/cranberrystack/packer"
+)
+
+// ErrInvalid reports lists that make no sense in themselves.
+var ErrInvalid = eris.New("lists are invalid")
+
+// ErrImpossible reports guarantees that the pool can't hold.
+var ErrImpossible = eris.New("guarantees do not fit the pool")
+
+const maxGangParts = 64
+
+// Pool is what a data centre has of one kind of accelerator.
+type Pool struct {
+	DataCenter  identifier.DataCenterID `json:"data-center"`
+	Accelerator string                  `json:"accelerator"`
+	// Slots are in order of rack and position, with Free equal to Total.
+	Slots []packer.Slot `json:"slots"`
+}
+
+var structure = validator.New(validator.WithRequiredStructEnabled())
+
+// Check returns an error that wraps ErrInvalid and names the first rule that
+// the lists break.
+func Check(lists Lists) error {
+	if err := structure.Struct(lists); err != nil {
+		return fmt.Errorf("%s: %w", describe(err), ErrInvalid)
+	}
+	members := map[identifier.PlanID]bool{}
+	for _, plan := range lists.Plans {
+		if members[plan.ID] {
+			return fmt.Errorf("plan %q is listed twice: %w", plan.ID, ErrInvalid)
+		}
+		members[plan.ID] = true
+		if err := checkTeams(plan); err != nil {
+			return err
+		}
+	}
+	type use struct {
+		plan        identifier.PlanID
+		accelerator string
+	}
+	seen := map[use]bool{}
+	total := 0.0
+	for _, allowance := range lists.Allowances {
+		key := use{allowance.Plan, allowance.Accelerator}
+		if seen[key] {
+			return fmt.Errorf("plan %q has two entries for %q: %w", allowance.Plan, allowance.Accelerator, ErrInvalid)
+		}
+		seen[key] = true
+		if !members[allowance.Plan] {
+			return fmt.Errorf("plan %q of the second list is not in the first: %w", allowance.Plan, ErrInvalid)
+		}
+		if err := checkGuarantees(allowance); err != nil {
+			return err
+		}
+		total += allowance.RequestShare
+	}
+	if total > 1.0001 {
+		return fmt.Errorf("request shares add up to %.3f, more than 1: %w", total, ErrInvalid)
+	}
+	return nil
+}
+
+func describe(err error) string {
+	var faults validator.ValidationErrors
+	if errors.As(err, &faults) && len(faults) > 0 {
+		return fmt.Sprintf("%s breaks rule %s %s", faults[0].Namespace(), faults[0].Tag(), faults[0].Param())
+	}
+	return err.Error()
+}
+
+func checkTeams(plan Plan) error {
+	seen := map[identifier.TeamID]bool{}
+	for _, team := range plan.Teams {
+		if seen[team.ID] {
+			return fmt.Errorf("plan %q lists team %q twice: %w", plan.ID, team.ID, ErrInvalid)
+		}
+		seen[team.ID] = true
+	}
+	return nil
+}
+
+func checkGuarantees(allowance Allowance) error {
+	total := 0
+	for _, guarantee := range allowance.Guarantees {
+		shape := guarantee.Shape
+		if shape.Parts < 1 || shape.Parts > maxGangParts || shape.PerPart < 1 {
+			return fmt.Errorf("plan %q guarantees a shape of %d parts with %d accelerators: %w", allowance.Plan, shape.Parts, shape.PerPart, ErrInvalid)
+		}
+		if !allows(allowance.Adjacent, shape.Adjacent) {
+			return fmt.Errorf("plan %q guarantees adjacency %q that it may not use: %w", allowance.Plan, shape.Adjacent, ErrInvalid)
+		}
+		total += guarantee.Count * shape.Total()
+		if sum := sumShares(guarantee.Shares); len(guarantee.Shares) > 0 && sum != guarantee.Count {
+			return fmt.Errorf("plan %q: shares add up to %d, count is %d: %w", allowance.Plan, sum, guarantee.Count, ErrInvalid)
+		}
+	}
+	if total > allowance.Limit {
+		return fmt.Errorf("plan %q guarantees %d accelerators over its limit %d: %w", allowance.Plan, total, allowance.Limit, ErrInvalid)
+	}
+	return nil
+}
+
+func allows(list []packer.Adjacency, wanted packer.Adjacency) bool {
+	for _, adjacent := range list {
+		if adjacent == wanted {
+			return true
+		}
+	}
+	return false
+}
+
+func sumShares(shares []Share) int {
+	sum := 0
+	for _, share := range shares {
+		sum += share.Count
+	}
+	return sum
+}
+
+// unit is one guaranteed shape that has to be given a place.
+type unit struct {
+	allowance, guarantee int
+	shape                packer.Shape
+	// dataCenter is empty if the operator left it open.
+	dataCenter identifier.DataCenterID
+}
+
+// Divide fills in the shares of guarantees that have none, so that every
+// guaranteed shape has its own place in the pools. It returns an error that
+// wraps ErrImpossible and names the first shape without one. Without any pool
+// of a kind it divides evenly over the data centres and checks nothing, since
+// nothing is known yet.
+func Divide(lists Lists, pools []Pool, dataCenters []identifier.DataCenterID) (Lists, error) {
+	divided := copyLists(lists)
+	space := map[string]map[identifier.DataCenterID][]packer.Slot{}
+	for _, pool := range pools {
+		if space[pool.Accelerator] == nil {
+			space[pool.Accelerator] = map[identifier.DataCenterID][]packer.Slot{}
+		}
+		space[pool.Accelerator][pool.DataCenter] = append([]packer.Slot(nil), pool.Slots...)
+	}
+	units := unitsOf(divided)
+	next := 0
+	for _, u := range units {
+		allowance := &divided.Allowances[u.allowance]
+		known := space[allowance.Accelerator]
+		place := u.dataCenter
+		if len(known) == 0 {
+			if place == "" && len(dataCenters) > 0 {
+				place = dataCenters[next%len(dataCenters)]
+				next++
+			}
+		} else {
+			found, fits := choose(known, u)
+			if !fits {
+				return Lists{}, fmt.Errorf("plan %q: no %s of %d parts with %d accelerators is left beside the other guarantees: %w",
+					allowance.Plan, u.shape.Adjacent, u.shape.Parts, u.shape.PerPart, ErrImpossible)
+			}
+			place = found
+		}
+		if u.dataCenter == "" {
+			addShare(&allowance.Guarantees[u.guarantee], place)
+		}
+	}
+	return divided, nil
+}
+
+// unitsOf lists all guaranteed shapes, those with a named data centre first
+// and then the largest first.
+func unitsOf(lists Lists) []unit {
+	var units []unit
+	for a := range lists.Allowances {
+		for g, guarantee := range lists.Allowances[a].Guarantees {
+			for _, share := range guarantee.Shares {
+				for range share.Count {
+					units = append(units, unit{a, g, guarantee.Shape, share.DataCenter})
+				}
+			}
+			if len(guarantee.Shares) > 0 {
+				continue
+			}
+			for range guarantee.Count {
+				units = append(units, unit{a, g, guarantee.Shape, ""})
+			}
+		}
+	}
+	sort.SliceStable(units, func(i, j int) bool {
+		if (units[i].dataCenter == "") != (units[j].dataCenter == "") {
+			return units[i].dataCenter != ""
+		}
+		return units[i].shape.Total() > units[j].shape.Total()
+	})
+	return units
+}
+
+// choose takes a place for a unit in the data centre with the most room.
+func choose(space map[identifier.DataCenterID][]packer.Slot, u unit) (identifier.DataCenterID, bool) {
+	var best identifier.DataCenterID
+	var bestPieces []packer.Piece
+	bestFree := -1
+	for dataCenter, slots := range space {
+		if u.dataCenter != "" && u.dataCenter != dataCenter {
+			continue
+		}
+		pieces, fits := packer.Find(slots, u.shape)
+		free := freeOf(slots)
+		if !fits || free < bestFree || (free == bestFree && dataCenter > best) {
+			continue
+		}
+		best, bestPieces, bestFree = dataCenter, pieces, free
+	}
+	if bestFree < 0 {
+		return "", false
+	}
+	packer.Take(space[best], bestPieces, u.shape)
+	return best, true
+}
+
+func freeOf(slots []packer.Slot) int {
+	free := 0
+	for i := range slots {
+		free += slots[i].Free
+	}
+	return free
+}
+
+func addShare(guarantee *Guarantee, dataCenter identifier.DataCenterID) {
+	for i := range guarantee.Shares {
+		if guarantee.Shares[i].DataCenter == dataCenter {
+			guarantee.Shares[i].Count++
+			return
+		}
+	}
+	guarantee.Shares = append(guarantee.Shares, Share{DataCenter: dataCenter, Count: 1})
+	sort.Slice(guarantee.Shares, func(i, j int) bool {
+		return guarantee.Shares[i].DataCenter < guarantee.Shares[j].DataCenter
+	})
+}
+
+func copyLists(lists Lists) Lists {
+	copied := lists
+	copied.Allowances = append([]Allowance(nil), lists.Allowances...)
+	for i := range copied.Allowances {
+		guarantees := append([]Guarantee(nil), copied.Allowances[i].Guarantees...)
+		for g := range guarantees {
+			guarantees[g].Shares = append([]Share(nil), guarantees[g].Shares...)
+		}
+		copied.Allowances[i].Guarantees = guarantees
+	}
+	return copied
+}
--- /dev/null
+++ b/configurer/delta.go
@@ -0,0 +1,124 @@
+package configurer
+
+import (
+	"encoding/json"
+
+	"cranberrystack.dev/cranberrystack/identifier"
+)
+
+// Delta turns the view at index Since into the view at index Index.
+type Delta struct {
+	Since uint64 `json:"since"`
+	Index uint64 `json:"index"`
+	// Full means that the delta holds everything and fits any view.
+	Full       bool                   `json:"full,omitempty"`
+	Version    identifier.ListVersion `json:"version"`
+	Plans      []Plan                 `json:"plans,omitempty"`
+	Allowances []Allowance            `json:"allowances,omitempty"`
+	Removed    []identifier.PlanID    `json:"removed,omitempty"`
+	Owners     []Ownership            `json:"owners"`
+	Groups     []ClaimGroup           `json:"claim-groups"`
+}
+
+// tracker knows when each plan last changed. A follower keeps one as well, so
+// that it can pass deltas on.
+type tracker struct {
+	view       *View
+	changed    map[identifier.PlanID]uint64
+	tombstones *[]tombstone
+	forgotten  *uint64
+}
+
+func (s *State) tracker() tracker {
+	return tracker{
+		view: &s.stored.View, changed: s.stored.Changed,
+		tombstones: &s.stored.Tombstones, forgotten: &s.stored.Forgotten,
+	}
+}
+
+// Delta returns what changed after an index.
+func (s *State) Delta(since uint64) Delta {
+	return s.tracker().delta(since)
+}
+
+func (s *State) noteChanges(index uint64, next Lists) {
+	s.tracker().note(index, next)
+}
+
+// note records which plans differ between the view and the next lists.
+func (t tracker) note(index uint64, next Lists) {
+	present := map[identifier.PlanID]bool{}
+	for _, plan := range next.Plans {
+		present[plan.ID] = true
+		if !sameEncoding(entryOf(t.view.Lists, plan.ID), entryOf(next, plan.ID)) {
+			t.changed[plan.ID] = index
+		}
+	}
+	for _, plan := range t.view.Lists.Plans {
+		if present[plan.ID] {
+			continue
+		}
+		delete(t.changed, plan.ID)
+		*t.tombstones = append(*t.tombstones, tombstone{Plan: plan.ID, Index: index})
+	}
+	for len(*t.tombstones) > maxTombstones {
+		*t.forgotten = (*t.tombstones)[0].Index
+		*t.tombstones = (*t.tombstones)[1:]
+	}
+}
+
+func (t tracker) delta(since uint64) Delta {
+	delta := Delta{
+		Since: since, Index: t.view.Index, Version: t.view.Lists.Version,
+		Owners: t.view.Owners, Groups: t.view.Groups,
+	}
+	if since < *t.forgotten || since > t.view.Index {
+		since = 0
+	}
+	delta.Full = since == 0
+	for _, plan := range t.view.Lists.Plans {
+		if !delta.Full && t.changed[plan.ID] <= since {
+			continue
+		}
+		entry := entryOf(t.view.Lists, plan.ID)
+		delta.Plans = append(delta.Plans, entry.plans...)
+		delta.Allowances = append(delta.Allowances, entry.allowances...)
+	}
+	for _, removed := range *t.tombstones {
+		if !delta.Full && removed.Index > since {
+			delta.Removed = append(delta.Removed, removed.Plan)
+		}
+	}
+	return delta
+}
+
+// listEntry is a plan with all its allowances.
+type listEntry struct {
+	plans      []Plan
+	allowances []Allowance
+}
+
+func entryOf(lists Lists, id identifier.PlanID) listEntry {
+	var entry listEntry
+	for _, plan := range lists.Plans {
+		if plan.ID == id {
+			entry.plans = append(entry.plans, plan)
+		}
+	}
+	for _, allowance := range lists.Allowances {
+		if allowance.Plan == id {
+			entry.allowances = append(entry.allowances, allowance)
+		}
+	}
+	return entry
+}
+
+func sameEncoding(left, right listEntry) bool {
+	return encoding(left) == encoding(right)
+}
+
+func encoding(entry listEntry) string {
+	plans, _ := json.Marshal(entry.plans)
+	allowances, _ := json.Marshal(entry.allowances)
+	return string(plans) + string(allowances)
+}
--- /dev/null
+++ b/configurer/state.go
@@ -0,0 +1,211 @@
+package configurer
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+
+	"cranberrystack.dev/cranberrystack/identifier"
+)
+
+const maxOutcomes = 8192
+
+const maxTombstones = 1024
+
+// CommandKind tells what a command does.
+type CommandKind string
+
+// The kinds of command.
+const (
+	// CommandApply replaces both lists if the expected version is in force.
+	CommandApply CommandKind = "apply"
+	// CommandOwn sets the owner of a data centre's placement.
+	CommandOwn CommandKind = "own"
+	// CommandGroup starts a data centre's claim table with nothing in it.
+	CommandGroup CommandKind = "group"
+)
+
+// Command is one entry of the log.
+type Command struct {
+	Kind CommandKind `json:"kind"`
+	// RequestID makes a resend return the first result. It is required.
+	RequestID string `json:"request-id"`
+	// Expected is the version that an apply replaces.
+	Expected identifier.ListVersion `json:"expected,omitempty"`
+	Lists    *Lists                 `json:"lists,omitempty"`
+	Owner    *Ownership             `json:"owner,omitempty"`
+	Group    *ClaimGroup            `json:"group,omitempty"`
+}
+
+// Result is what a command did.
+type Result struct {
+	// Accepted is false if another change came first.
+	Accepted bool `json:"accepted"`
+	// Version is the version of the lists in force after the command.
+	Version identifier.ListVersion `json:"version"`
+	// Winner is the request id that set that version.
+	Winner string `json:"winner,omitempty"`
+	// Reason says why a command was not accepted.
+	Reason string `json:"reason,omitempty"`
+	// Index is the log's index of the command that gave the result.
+	Index uint64 `json:"index"`
+}
+
+type storedOutcome struct {
+	RequestID string `json:"request-id"`
+	Result    Result `json:"result"`
+}
+
+type tombstone struct {
+	Plan  identifier.PlanID `json:"plan"`
+	Index uint64            `json:"index"`
+}
+
+type storedState struct {
+	View   View   `json:"view"`
+	Winner string `json:"winner"`
+	// Changed holds for every plan the index of its last change.
+	Changed    map[identifier.PlanID]uint64 `json:"changed"`
+	Tombstones []tombstone                  `json:"tombstones"`
+	// Forgotten is the index up to which removals are no longer known.
+	Forgotten uint64          `json:"forgotten"`
+	Outcomes  []storedOutcome `json:"outcomes"`
+}
+
+// State is the state machine. It is not safe for concurrent use.
+type State struct {
+	stored   storedState
+	outcomes map[string]Result
+}
+
+// NewState returns the empty state.
+func NewState() *State {
+	s := &State{outcomes: map[string]Result{}}
+	s.stored.Changed = map[identifier.PlanID]uint64{}
+	return s
+}
+
+// View returns what is in force. The caller must not change it.
+func (s *State) View() View {
+	return s.stored.View
+}
+
+// Winner returns the request id that set the version in force.
+func (s *State) Winner() string {
+	return s.stored.Winner
+}
+
+// Apply handles one committed command and returns its Result.
+func (s *State) Apply(index uint64, data []byte) Result {
+	var command Command
+	if err := json.Unmarshal(data, &command); err != nil {
+		return Result{Index: index, Reason: "command is unreadable"}
+	}
+	if first, known := s.outcomes[command.RequestID]; known {
+		return first
+	}
+	result := s.run(index, command)
+	result.Index = index
+	result.Version = s.stored.View.Lists.Version
+	result.Winner = s.stored.Winner
+	s.remember(command.RequestID, result)
+	return result
+}
+
+func (s *State) run(index uint64, command Command) Result {
+	switch {
+	case command.Kind == CommandApply && command.Lists != nil:
+		return s.applyLists(index, command)
+	case command.Kind == CommandOwn && command.Owner != nil:
+		return s.applyOwner(index, *command.Owner)
+	case command.Kind == CommandGroup && command.Group != nil:
+		return s.applyGroup(index, *command.Group)
+	}
+	return Result{Reason: "command is incomplete"}
+}
+
+func (s *State) applyLists(index uint64, command Command) Result {
+	current := s.stored.View.Lists.Version
+	if command.Expected != current {
+		return Result{Reason: fmt.Sprintf("expected version %d, in force is %d", command.Expected, current)}
+	}
+	next := *command.Lists
+	next.Version = current + 1
+	s.noteChanges(index, next)
+	s.stored.View.Lists = next
+	s.stored.View.Index = index
+	s.stored.Winner = command.RequestID
+	return Result{Accepted: true}
+}
+
+func (s *State) applyOwner(index uint64, next Ownership) Result {
+	current := s.stored.View.Owner(next.DataCenter)
+	if next.Epoch != current.Epoch+1 {
+		return Result{Reason: fmt.Sprintf("epoch %d is in force", current.Epoch)}
+	}
+	owners := []Ownership{next}
+	for _, other := range s.stored.View.Owners {
+		if other.DataCenter != next.DataCenter {
+			owners = append(owners, other)
+		}
+	}
+	sort.Slice(owners, func(i, j int) bool { return owners[i].DataCenter < owners[j].DataCenter })
+	s.stored.View.Owners = owners
+	s.stored.View.Index = index
+	return Result{Accepted: true}
+}
+
+func (s *State) applyGroup(index uint64, next ClaimGroup) Result {
+	current := s.stored.View.Group(next.DataCenter)
+	if next.Generation != current.Generation+1 {
+		return Result{Reason: fmt.Sprintf("generation %d is in force", current.Generation)}
+	}
+	groups := []ClaimGroup{next}
+	for _, other := range s.stored.View.Groups {
+		if other.DataCenter != next.DataCenter {
+			groups = append(groups, other)
+		}
+	}
+	sort.Slice(groups, func(i, j int) bool { return groups[i].DataCenter < groups[j].DataCenter })
+	s.stored.View.Groups = groups
+	s.stored.View.Index = index
+	return Result{Accepted: true}
+}
+
+func (s *State) remember(requestID string, result Result) {
+	s.outcomes[requestID] = result
+	s.stored.Outcomes = append(s.stored.Outcomes, storedOutcome{RequestID: requestID, Result: result})
+	if len(s.stored.Outcomes) <= maxOutcomes {
+		return
+	}
+	delete(s.outcomes, s.stored.Outcomes[0].RequestID)
+	s.stored.Outcomes = append([]storedOutcome(nil), s.stored.Outcomes[1:]...)
+}
+
+// Snapshot returns the whole state.
+func (s *State) Snapshot() ([]byte, error) {
+	data, err := json.Marshal(s.stored)
+	if err != nil {
+		return nil, fmt.Errorf("encode lists: %w", err)
+	}
+	return data, nil
+}
+
+// Restore replaces the whole state by a snapshot.
+func (s *State) Restore(data []byte) error {
+	fresh := NewState()
+	if err := json.Unmarshal(data, &fresh.stored); err != nil {
+		return fmt.Errorf("decode lists: %w", err)
+	}
+	for _, stored := range fresh.stored.Outcomes {
+		fresh.outcomes[stored.RequestID] = stored.Result
+	}
+	*s = *fresh
+	return nil
+}
+
+// Outcome returns the result that a request id has got, if it has one.
+func (s *State) Outcome(requestID string) (Result, bool) {
+	result, known := s.outcomes[requestID]
+	return result, known
+}
--- /dev/null
+++ b/connector/connector.go
@@ -0,0 +1,382 @@
+// Package connector runs attempts on one upstream over HTTP/1.1. It never
+// repeats an attempt by itself, and it tells an attempt that truly did not run
+// from one whose outcome is unknown.
+//
+// docs/API.md says what an upstream has to speak.
+package connector
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"cranberrystack.dev/cranberrystack/identifier"
+)
+
+// Headers that an upstream reads or writes.
+const (
+	HeaderAttempt       = "Cranberry-Attempt"
+	HeaderMember        = "Cranberry-Member"
+	HeaderTeam          = "Cranberry-Team"
+	HeaderKind          = "Cranberry-Kind"
+	HeaderDeadline      = "Cranberry-Deadline-Ms"
+	HeaderNonIdempotent = "Cranberry-Non-Idempotent"
+	HeaderNotRun        = "Cranberry-Not-Run"
+	HeaderStatus        = "Cranberry-Status"
+	HeaderIncarnation   = "Cranberry-Incarnation"
+)
+
+const (
+	runPath      = "/run"
+	attemptsPath = "/attempts/"
+)
+
+// Reasons that an upstream gives for not running an attempt.
+const (
+	NotRunBusy    = "busy"
+	NotRunLeaving = "leaving"
+	NotRunUnknown = "unknown"
+	// NotRunRestarted answers an attempt meant for an earlier incarnation.
+	NotRunRestarted = "restarted"
+)
+
+// ErrNotRun reports an attempt that did not run and never will.
+var ErrNotRun = eris.New("attempt did not run")
+
+// ErrOutcomeUnknown reports an attempt that may have run.
+var ErrOutcomeUnknown = eris.New("outcome of the attempt is unknown")
+
+// ErrAnswerTooLarge reports an attempt that ran and whose answer is over the
+// bound.
+var ErrAnswerTooLarge = eris.New("answer is too large")
+
+// errRestarted reports an upstream that does not remember the attempt because
+// it has restarted since.
+var errRestarted = eris.New("upstream has restarted since the attempt")
+
+// NotRunError says why an attempt did not run.
+type NotRunError struct {
+	// Reason is the upstream's own word, or empty if it was not reached.
+	Reason string
+	Cause  error
+}
+
+// Error returns the reason.
+func (e *NotRunError) Error() string {
+	if e.Cause != nil {
+		return "did not run: " + e.Cause.Error()
+	}
+	return "did not run: upstream says " + e.Reason
+}
+
+// Unwrap makes the error match ErrNotRun.
+func (e *NotRunError) Unwrap() error { return ErrNotRun }
+
+// Attempt is one try at running a request.
+type Attempt struct {
+	ID            identifier.AttemptID
+	Member        identifier.MemberID
+	Team          identifier.TeamID
+	Kind          string
+	Deadline      time.Time
+	ContentType   string
+	Body          []byte
+	NonIdempotent bool
+}
+
+// Answer is a whole answer from an upstream.
+type Answer struct {
+	Status      int    `json:"status"`
+	ContentType string `json:"content-type"`
+	Body        []byte `json:"body"`
+}
+
+// Dial opens a connection; it is a seam for tests.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Target is one incarnation of an upstream. Only the incarnation that was sent
+// an attempt can say what became of it.
+type Target struct {
+	Address     string                 `json:"address"`
+	Incarnation identifier.Incarnation `json:"incarnation"`
+}
+
+// Connector holds the connections to one upstream. It is safe for concurrent
+// use.
+type Connector struct {
+	target  Target
+	dial    Dial
+	options options
+	pool    pool
+	breaker breaker
+}
+
+// New returns a connector without connections.
+func New(target Target, dial Dial, opts ...Option) *Connector {
+	return &Connector{target: target, dial: dial, options: newOptions(opts...)}
+}
+
+// Close closes idle connections.
+func (c *Connector) Close() {
+	c.pool.closeAll()
+}
+
+// Available reports whether the upstream could be reached lately.
+func (c *Connector) Available(now time.Time) bool {
+	return c.breaker.allows(now)
+}
+
+// Run sends an attempt and returns its whole answer. When the connection
+// fails after the first byte it asks the upstream over a new one what became
+// of the attempt, until the context ends. Errors: ErrNotRun (as a
+// *NotRunError), ErrOutcomeUnknown, ErrAnswerTooLarge.
+func (c *Connector) Run(ctx context.Context, attempt Attempt) (Answer, error) {
+	conn, err := c.connect(ctx, true)
+	if err != nil {
+		return Answer{}, &NotRunError{Cause: err}
+	}
+	answer, err := c.exchange(ctx, conn, attempt)
+	if err == nil || errors.Is(err, ErrNotRun) || errors.Is(err, ErrAnswerTooLarge) {
+		return answer, err
+	}
+	if conn.written() == 0 {
+		return Answer{}, &NotRunError{Cause: err}
+	}
+	if ctx.Err() != nil {
+		return Answer{}, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+	}
+	return c.Resolve(ctx, attempt.ID)
+}
+
+// Resolve asks the upstream what became of an attempt, until it has finished
+// or the context ends. An attempt that the upstream has not seen is fenced by
+// the question: it will never run. Errors are those of Run.
+func (c *Connector) Resolve(ctx context.Context, id identifier.AttemptID) (Answer, error) {
+	for {
+		answer, running, err := c.ask(ctx, id)
+		if err == nil && !running {
+			return answer, nil
+		}
+		if errors.Is(err, ErrNotRun) || errors.Is(err, ErrAnswerTooLarge) {
+			return Answer{}, err
+		}
+		if errors.Is(err, errRestarted) {
+			return Answer{}, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+		}
+		select {
+		case <-ctx.Done():
+			return Answer{}, fmt.Errorf("ask about attempt %s: %w", id, ErrOutcomeUnknown)
+		case <-time.After(c.options.askInterval):
+		}
+	}
+}
+
+func (c *Connector) ask(ctx context.Context, id identifier.AttemptID) (Answer, bool, error) {
+	conn, err := c.connect(ctx, false)
+	if err != nil {
+		return Answer{}, false, err
+	}
+	request, err := http.NewRequest(http.MethodGet, "http://"+c.target.Address+attemptsPath+string(id), nil)
+	if err != nil {
+		return Answer{}, false, fmt.Errorf("build question: %w", err)
+	}
+	release := conn.guard(ctx)
+	response, answer, err := c.roundTrip(conn, request, id)
+	if err != nil {
+		release()
+		conn.Close()
+		return Answer{}, false, err
+	}
+	c.keep(conn, release)
+	switch response.StatusCode {
+	case http.StatusOK:
+		status, err := strconv.Atoi(response.Header.Get(HeaderStatus))
+		if err != nil {
+			return Answer{}, false, fmt.Errorf("status of attempt: %w", err)
+		}
+		answer.Status = status
+		return answer, false, nil
+	case http.StatusAccepted:
+		return Answer{}, true, nil
+	case http.StatusNotFound:
+		reason := response.Header.Get(HeaderNotRun)
+		sameLife := response.Header.Get(HeaderIncarnation) == c.incarnation()
+		if reason != "" && sameLife {
+			return Answer{}, false, &NotRunError{Reason: reason}
+		}
+		return Answer{}, false, errRestarted
+	}
+	return Answer{}, false, eris.Errorf("upstream answers %d about an attempt", response.StatusCode)
+}
+
+// connect returns a connection that was used lately, or a new one.
+func (c *Connector) connect(ctx context.Context, reuse bool) (*conn, error) {
+	now := time.Now()
+	if reuse {
+		if idle := c.pool.get(now.Add(-c.options.maxIdle)); idle != nil {
+			idle.startCount()
+			return idle, nil
+		}
+	}
+	dialCtx, cancel := context.WithTimeout(ctx, c.options.dialTimeout)
+	defer cancel()
+	raw, err := c.dial(dialCtx, "tcp", c.target.Address)
+	if err != nil {
+		if ctx.Err() == nil {
+			c.breaker.failed(time.Now())
+		}
+		return nil, fmt.Errorf("connect to upstream: %w", err)
+	}
+	c.breaker.worked()
+	return newConn(raw), nil
+}
+
+func (c *Connector) exchange(ctx context.Context, conn *conn, attempt Attempt) (Answer, error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+c.target.Address+runPath, bytes.NewReader(attempt.Body))
+	if err != nil {
+		return Answer{}, fmt.Errorf("build attempt: %w", err)
+	}
+	c.setHeaders(request, attempt)
+	release := conn.guard(ctx)
+	response, answer, err := c.roundTrip(conn, request, attempt.ID)
+	if err != nil {
+		release()
+		conn.Close()
+		if !errors.Is(err, ErrAnswerTooLarge) {
+			c.pool.closeUsedBefore(time.Now())
+		}
+		return Answer{}, err
+	}
+	c.keep(conn, release)
+	reason := response.Header.Get(HeaderNotRun)
+	if response.StatusCode == http.StatusServiceUnavailable && reason != "" {
+		return Answer{}, &NotRunError{Reason: reason}
+	}
+	return answer, nil
+}
+
+func (c *Connector) incarnation() string {
+	return strconv.FormatUint(uint64(c.target.Incarnation), 10)
+}
+
+// keep returns a connection to the pool unless the context closed it.
+func (c *Connector) keep(conn *conn, release func() bool) {
+	if !release() {
+		conn.Close()
+		return
+	}
+	c.pool.put(conn, time.Now())
+}
+
+func (c *Connector) setHeaders(request *http.Request, attempt Attempt) {
+	header := request.Header
+	header.Set(HeaderIncarnation, c.incarnation())
+	header.Set("User-Agent", "cranberrystack")
+	header.Set(HeaderAttempt, string(attempt.ID))
+	header.Set(HeaderMember, string(attempt.Member))
+	header.Set(HeaderTeam, string(attempt.Team))
+	header.Set(HeaderKind, attempt.Kind)
+	left := max(time.Until(attempt.Deadline).Milliseconds(), 0)
+	header.Set(HeaderDeadline, strconv.FormatInt(left, 10))
+	if attempt.ContentType != "" {
+		header.Set("Content-Type", attempt.ContentType)
+	}
+	if attempt.NonIdempotent {
+		header.Set(HeaderNonIdempotent, "true")
+	}
+}
+
+// roundTrip writes a request and reads the final answer. Each interim answer
+// shows that the connection is alive and extends the wait.
+func (c *Connector) roundTrip(conn *conn, request *http.Request, id identifier.AttemptID) (*http.Response, Answer, error) {
+	conn.expect(c.options.acceptTimeout)
+	if err := request.Write(conn.writer); err != nil {
+		return nil, Answer{}, fmt.Errorf("write request: %w", err)
+	}
+	if err := conn.writer.Flush(); err != nil {
+		return nil, Answer{}, fmt.Errorf("write request: %w", err)
+	}
+	for {
+		response, err := http.ReadResponse(conn.reader, request)
+		if err != nil {
+			return nil, Answer{}, fmt.Errorf("read answer: %w", err)
+		}
+		conn.expect(c.options.progressTimeout)
+		if response.StatusCode >= 200 {
+			answer, err := c.readAnswer(response, id)
+			return response, answer, err
+		}
+	}
+}
+
+func (c *Connector) readAnswer(response *http.Response, id identifier.AttemptID) (Answer, error) {
+	if got := response.Header.Get(HeaderAttempt); got != string(id) {
+		return Answer{}, eris.Errorf("answer is for attempt %q, not %q", got, id)
+	}
+	chunked := len(response.TransferEncoding) > 0
+	if response.ContentLength < 0 && !chunked {
+		return Answer{}, eris.New("answer does not say where it ends")
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, c.options.maxAnswerBytes+1))
+	if err != nil {
+		return Answer{}, fmt.Errorf("read answer: %w", err)
+	}
+	if int64(len(body)) > c.options.maxAnswerBytes {
+		return Answer{}, ErrAnswerTooLarge
+	}
+	return Answer{
+		Status: response.StatusCode, Body: body,
+		ContentType: response.Header.Get("Content-Type"),
+	}, nil
+}
+
+// conn is one connection with what is needed to judge it.
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	writer *bufio.Writer
+	count  *countingWriter
+	// used is when the last whole answer came back.
+	used time.Time
+}
+
+type countingWriter struct {
+	conn  net.Conn
+	bytes int64
+}
+
+// Write counts what has left.
+func (w *countingWriter) Write(data []byte) (int, error) {
+	n, err := w.conn.Write(data)
+	w.bytes += int64(n)
+	return n, err
+}
+
+func newConn(raw net.Conn) *conn {
+	count := &countingWriter{conn: raw}
+	return &conn{Conn: raw, count: count, reader: bufio.NewReader(raw), writer: bufio.NewWriter(count)}
+}
+
+func (c *conn) startCount() { c.count.bytes = 0 }
+
+func (c *conn) written() int64 { return c.count.bytes }
+
+// expect bounds the wait for the next sign of life.
+func (c *conn) expect(wait time.Duration) {
+	_ = c.SetDeadline(time.Now().Add(wait))
+}
+
+// guard closes the connection when the context ends. The returned function
+// ends the guard; it returns false if the connection has been closed.
+func (c *conn) guard(ctx context.Context) func() bool {
+	return context.AfterFunc(ctx, func() { c.Close() })
+}
--- /dev/null
+++ b/connector/pool.go
@@ -0,0 +1,62 @@
+package connector
+
+import (
+	"sync"
+	"time"
+)
+
+// pool holds idle connections, the latest used last.
+type pool struct {
+	mu   sync.Mutex
+	idle []*conn
+}
+
+// get returns the idle connection used last, if it was used after a time. All
+// idle ones used before are closed: they may be dead without saying so.
+func (p *pool) get(usedAfter time.Time) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.drop(usedAfter)
+	if len(p.idle) == 0 {
+		return nil
+	}
+	last := p.idle[len(p.idle)-1]
+	p.idle = p.idle[:len(p.idle)-1]
+	return last
+}
+
+func (p *pool) put(c *conn, now time.Time) {
+	_ = c.SetDeadline(time.Time{})
+	c.used = now
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle = append(p.idle, c)
+}
+
+// closeUsedBefore closes the connections whose last answer is older than a
+// time. After one connection has gone silent the others are not trusted.
+func (p *pool) closeUsedBefore(limit time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.drop(limit)
+}
+
+func (p *pool) closeAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle {
+		c.Close()
+	}
+	p.idle = nil
+}
+
+// drop closes and forgets the connections used before a time; the caller
+// holds mu.
+func (p *pool) drop(limit time.Time) {
+	keep := 0
+	for keep < len(p.idle) && p.idle[keep].used.Before(limit) {
+		p.idle[keep].Close()
+		keep++
+	}
+	p.idle = p.idle[keep:]
+}
--- /dev/null
+++ b/controller/controller.go
@@ -0,0 +1,329 @@
+// Package controller offers the replicated lists to the rest of the system. A
+// Controller is one of the few instances that hold the log; a Client reaches
+// them from anywhere.
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/rotisserie/eris"
+
+	"cranberrystack.dev/cranberrystack/configurer"
+	"cranberrystack.dev/cranberrystack/identifier"
+	"cranberrystack.dev/cranberrystack/messenger"
+	"cranberrystack.dev/cranberrystack/replicator"
+	"cranberrystack.dev/cranberrystack/responder"
+	"cranberrystack.dev/cranberrystack/spreader"
+)
+
+const (
+	messagePath   = "/peer/replicator/message"
+	formationPath = "/peer/replicator/formation"
+	proposePath   = "/peer/controller/propose"
+	readPath      = "/peer/controller/read"
+	changePath    = "/peer/controller/change"
+	statusPath    = "/peer/controller/status"
+	poolPath      = "/peer/controller/pool"
+
+	maxMessageBytes = 64 << 20
+	commitTimeout   = 5 * time.Second
+	// poolExpiry is the age from which a reported pool no longer counts.
+	poolExpiry = 2 * time.Minute
+)
+
+// Config sets up a controller.
+type Config struct {
+	ID identifier.InstanceID
+	// Dir is the folder of the log.
+	Dir string
+	// Initial are the first voters of a new group; none for an instance that
+	// joins later.
+	Initial     []replicator.Peer
+	DataCenters []identifier.DataCenterID
+}
+
+type reportedPool struct {
+	pool  configurer.Pool
+	heard time.Time
+}
+
+// Controller is one instance that holds the log. It is safe for concurrent
+// use.
+type Controller struct {
+	config    Config
+	messenger *messenger.Messenger
+	spreader  *spreader.Spreader
+	follower  *configurer.Follower
+	node      *replicator.Node
+
+	// mu guards state and pools. It is taken before the follower's own lock
+	// and never held during I/O.
+	mu    sync.Mutex
+	state *configurer.State
+	pools map[string]reportedPool
+}
+
+// Open restores a controller from its folder.
+func Open(config Config, m *messenger.Messenger, s *spreader.Spreader, f *configurer.Follower, opts ...replicator.Option) (*Controller, error) {
+	c := &Controller{
+		config: config, messenger: m, spreader: s, follower: f,
+		state: configurer.NewState(), pools: map[string]reportedPool{},
+	}
+	machine := replicator.StateMachine{Apply: c.apply, Snapshot: c.snapshot, Restore: c.restore}
+	transport := replicator.Transport{Send: c.send, Formation: c.formation}
+	node, err := replicator.Open(config.ID, config.Dir, config.Initial, machine, transport, opts...)
+	if err != nil {
+		return nil, fmt.Errorf("open lists: %w", err)
+	}
+	c.node = node
+	return c, nil
+}
+
+// Stop hands leadership over and stops.
+func (c *Controller) Stop() {
+	c.node.Stop()
+}
+
+// Done is closed when the controller has stopped.
+func (c *Controller) Done() <-chan struct{} { return c.node.Done() }
+
+// Failure returns the error that stopped the controller, if one did.
+func (c *Controller) Failure() error { return c.node.Failure() }
+
+// Status describes the replicated log here.
+func (c *Controller) Status() replicator.Status { return c.node.Status() }
+
+func (c *Controller) apply(index uint64, data []byte) any {
+	c.mu.Lock()
+	result := c.state.Apply(index, data)
+	delta := c.state.Delta(c.follower.Index())
+	c.mu.Unlock()
+	c.spreader.Offer(delta)
+	return result
+}
+
+func (c *Controller) snapshot() ([]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state.Snapshot()
+}
+
+func (c *Controller) restore(data []byte) error {
+	c.mu.Lock()
+	err := c.state.Restore(data)
+	delta := c.state.Delta(c.follower.Index())
+	c.mu.Unlock()
+	if err != nil {
+		return fmt.Errorf("restore lists: %w", err)
+	}
+	c.spreader.Offer(delta)
+	return nil
+}
+
+func (c *Controller) send(ctx context.Context, peer replicator.Peer, message replicator.Message) ([]replicator.Message, error) {
+	var answers []replicator.Message
+	err := c.messenger.Post(ctx, peer.Address, messagePath, message, &answers)
+	return answers, err
+}
+
+func (c *Controller) formation(ctx context.Context, peer replicator.Peer) (replicator.Formation, error) {
+	var formation replicator.Formation
+	err := c.messenger.Get(ctx, peer.Address, formationPath, &formation)
+	return formation, err
+}
+
+// Routes adds the handlers that other instances call.
+func (c *Controller) Routes(router gin.IRouter) {
+	router.POST(messagePath, c.handleMessage)
+	router.GET(formationPath, c.handleFormation)
+	router.POST(proposePath, c.handlePropose)
+	router.GET(readPath, c.handleRead)
+	router.POST(changePath, c.handleChange)
+	router.GET(statusPath, c.handleStatus)
+	router.POST(poolPath, c.handlePool)
+}
+
+func (c *Controller) handleMessage(g *gin.Context) {
+	var message replicator.Message
+	if !responder.Decode(g, maxMessageBytes, &message) {
+		return
+	}
+	answers, err := c.node.Handle(g.Request.Context(), message)
+	if err != nil {
+		unavailable(g, err)
+		return
+	}
+	g.JSON(http.StatusOK, answers)
+}
+
+func (c *Controller) handleFormation(g *gin.Context) {
+	g.JSON(http.StatusOK, c.node.Formation())
+}
+
+func unavailable(g *gin.Context, err error) {
+	responder.Fail(g, responder.Problem{
+		Status: http.StatusServiceUnavailable, Code: responder.CodeUnavailable, Reason: err.Error(),
+	})
+}
+
+// proposeAnswer carries either a result, or the leader to ask instead, or a
+// refusal.
+type proposeAnswer struct {
+	Result     *configurer.Result `json:"result,omitempty"`
+	Leader     *replicator.Peer   `json:"leader,omitempty"`
+	Unknown    bool               `json:"unknown,omitempty"`
+	Impossible string             `json:"impossible,omitempty"`
+	Invalid    string             `json:"invalid,omitempty"`
+	Refused    string             `json:"refused,omitempty"`
+}
+
+func (c *Controller) handlePropose(g *gin.Context) {
+	var command configurer.Command
+	if !responder.Decode(g, maxMessageBytes, &command) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(g.Request.Context(), commitTimeout)
+	defer cancel()
+	g.JSON(http.StatusOK, c.propose(ctx, command))
+}
+
+func (c *Controller) propose(ctx context.Context, command configurer.Command) proposeAnswer {
+	if command.RequestID == "" {
+		return proposeAnswer{Invalid: "request-id is missing"}
+	}
+	if command.Kind == configurer.CommandApply {
+		prepared, refusal := c.prepare(command)
+		if refusal != nil {
+			return *refusal
+		}
+		command = prepared
+	}
+	data, err := json.Marshal(command)
+	if err != nil {
+		return proposeAnswer{Invalid: err.Error()}
+	}
+	value, err := c.node.Propose(ctx, data)
+	if err != nil {
+		return failed(err)
+	}
+	result, ok := value.(configurer.Result)
+	if !ok {
+		return proposeAnswer{Unknown: true}
+	}
+	return proposeAnswer{Result: &result}
+}
+
+// prepare checks lists against the pool and divides their guarantees. A resend
+// of a request that has a result goes on unchecked, so that it gets that
+// result whatever the pool is now.
+func (c *Controller) prepare(command configurer.Command) (configurer.Command, *proposeAnswer) {
+	if command.Lists == nil {
+		return command, &proposeAnswer{Invalid: "lists are missing"}
+	}
+	c.mu.Lock()
+	_, decided := c.state.Outcome(command.RequestID)
+	pools := c.livePools(time.Now())
+	c.mu.Unlock()
+	if decided {
+		return command, nil
+	}
+	if err := configurer.Check(*command.Lists); err != nil {
+		return command, &proposeAnswer{Invalid: err.Error()}
+	}
+	divided, err := configurer.Divide(*command.Lists, pools, c.config.DataCenters)
+	if err != nil {
+		return command, &proposeAnswer{Impossible: err.Error()}
+	}
+	command.Lists = &divided
+	return command, nil
+}
+
+// livePools returns the pools reported lately; the caller holds mu.
+func (c *Controller) livePools(now time.Time) []configurer.Pool {
+	var pools []configurer.Pool
+	for _, reported := range c.pools {
+		if now.Sub(reported.heard) < poolExpiry {
+			pools = append(pools, reported.pool)
+		}
+	}
+	sort.Slice(pools, func(i, j int) bool { return pools[i].DataCenter < pools[j].DataCenter })
+	return pools
+}
+
+func failed(err error) proposeAnswer {
+	var notLeader *replicator.NotLeaderError
+	if errors.As(err, &notLeader) {
+		leader := notLeader.Leader
+		return proposeAnswer{Leader: &leader}
+	}
+	if eris.Is(err, replicator.ErrLost) {
+		return proposeAnswer{Unknown: true}
+	}
+	return proposeAnswer{Refused: err.Error()}
+}
+
+type readAnswer struct {
+	View   *configurer.View `json:"view,omitempty"`
+	Winner string           `json:"winner,omitempty"`
+	Leader *replicator.Peer `json:"leader,omitempty"`
+}
+
+func (c *Controller) handleRead(g *gin.Context) {
+	ctx, cancel := context.WithTimeout(g.Request.Context(), commitTimeout)
+	defer cancel()
+	err := c.node.Read(ctx)
+	var notLeader *replicator.NotLeaderError
+	if errors.As(err, &notLeader) {
+		leader := notLeader.Leader
+		g.JSON(http.StatusOK, readAnswer{Leader: &leader})
+		return
+	}
+	if err != nil {
+		unavailable(g, err)
+		return
+	}
+	c.mu.Lock()
+	view, winner := c.state.View(), c.state.Winner()
+	c.mu.Unlock()
+	g.JSON(http.StatusOK, readAnswer{View: &view, Winner: winner})
+}
+
+func (c *Controller) handleChange(g *gin.Context) {
+	var change replicator.Change
+	if !responder.Decode(g, maxMessageBytes, &change) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(g.Request.Context(), commitTimeout)
+	defer cancel()
+	if err := c.node.Change(ctx, change); err != nil {
+		g.JSON(http.StatusOK, failed(err))
+		return
+	}
+	g.JSON(http.StatusOK, proposeAnswer{Result: &configurer.Result{Accepted: true}})
+}
+
+func (c *Controller) handleStatus(g *gin.Context) {
+	g.JSON(http.StatusOK, c.node.Status())
+}
+
+func (c *Controller) handlePool(g *gin.Context) {
+	var pools []configurer.Pool
+	if !responder.Decode(g, maxMessageBytes, &pools) {
+		return
+	}
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, pool := range pools {
+		c.pools[string(pool.DataCenter)+"/"+pool.Accelerator] = reportedPool{pool: pool, heard: now}
+	}
+	g.Status(http.StatusNoContent)
+}
--- /dev/null
+++ b/cranberryd/cluster/cluster_test.go
@@ -0,0 +1,370 @@
+// Package cluster_test runs several whole processes in one test, on a network
+// in memory and in virtual time, and brings failures about between them.
+package cluster_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cranberrystack.dev/cranberryd/daemon"
+	"cranberrystack.dev/cranberryd/loader"
+	"cranberrystack.dev/cranberrystack/authenticator"
+	"cranberrystack.dev/cranberrystack/faker"
+	"cranberrystack.dev/cranberrystack/identifier"
+	"cranberrystack.dev/cranberrystack/placer"
+)
+
+const (
+	peerToken     = "peer-token-for-tests"
+	operatorToken = "operator-token-for-tests"
+	upstreamToken = "upstream-token-for-tests"
+	workerToken   = "worker-token-for-tests"
+	isukuToken    = "isuku-caller-token-for-tests"
+	nieveToken    = "nieve-caller-token-for-tests"
+)
+
+func testTokens() []loader.Token {
+	return []loader.Token{
+		{Token: operatorToken, Kind: authenticator.KindOperator, Subject: "operator"},
+		{Token: upstreamToken, Kind: authenticator.KindUpstream, Subject: "dispatch"},
+		{Token: "another-upstream-token-for-tests", Kind: authenticator.KindUpstream, Subject: "other"},
+		{Token: workerToken, Kind: authenticator.KindWorker, Subject: "workers"},
+		{Token: isukuToken, Kind: authenticator.KindCaller, Subject: "phones", Member: "isuku"},
+		{Token: nieveToken, Kind: authenticator.KindCaller, Subject: "crews", Member: "nieve"},
+	}
+}
+
+// cluster is a set of processes. The host name of each is its instance id.
+type cluster struct {
+	t        *testing.T
+	network  *faker.Network
+	peers    []loader.Peer
+	voters   []identifier.InstanceID
+	centres  []identifier.DataCenterID
+	folders  map[identifier.InstanceID]string
+	daemons  map[identifier.InstanceID]*daemon.Daemon
+	settings func(*loader.Settings)
+	upstream []*faker.Upstream
+	workers  []*faker.Worker
+	clients  int
+}
+
+// member describes one instance of a cluster.
+type member struct {
+	id     identifier.InstanceID
+	centre identifier.DataCenterID
+	roles  []string
+}
+
+func newCluster(t *testing.T, members []member) *cluster {
+	c := &cluster{
+		t: t, network: faker.NewNetwork(), folders: map[identifier.InstanceID]string{},
+		daemons: map[identifier.InstanceID]*daemon.Daemon{},
+	}
+	seen := map[identifier.DataCenterID]bool{}
+	for _, m := range members {
+		peer := loader.Peer{Instance: m.id, Address: string(m.id) + ":7000", DataCenter: m.centre, Region: "region", Roles: m.roles}
+		c.peers = append(c.peers, peer)
+		if peer.Has("control") {
+			c.voters = append(c.voters, m.id)
+		}
+		if !seen[m.centre] {
+			seen[m.centre] = true
+			c.centres = append(c.centres, m.centre)
+		}
+		c.folders[m.id] = t.TempDir()
+	}
+	return c
+}
+
+var allRoles = []string{"control", "entry", "placement"}
+
+// trio returns three instances with all roles in one data centre.
+func trio() []member {
+	return []member{{"a", "dc1", allRoles}, {"b", "dc1", allRoles}, {"c", "dc1", allRoles}}
+}
+
+func (c *cluster) startAll() {
+	for _, peer := range c.peers {
+		c.start(peer.Instance)
+	}
+}
+
+func (c *cluster) start(id identifier.InstanceID) {
+	c.t.Helper()
+	settings := loader.Default()
+	for i := range c.peers {
+		if c.peers[i].Instance == id {
+			settings.Instance, settings.Address = id, c.peers[i].Address
+			settings.DataCenter, settings.Region, settings.Roles = c.peers[i].DataCenter, c.peers[i].Region, c.peers[i].Roles
+		}
+	}
+	settings.DataCenters, settings.Peers, settings.InitialVoters = c.centres, c.peers, c.voters
+	settings.PeerToken, settings.Tokens = peerToken, testTokens()
+	if settings.Has("control") {
+		settings.DataFolder = c.folders[id]
+	}
+	if c.settings != nil {
+		c.settings(settings)
+	}
+	if err := loader.Check(settings); err != nil {
+		c.t.Fatalf("settings of %s: %v", id, err)
+	}
+	d, err := daemon.New(settings, daemon.Network(c.network.Listen, c.network.Dial(string(id))))
+	if err != nil {
+		c.t.Fatalf("assemble %s: %v", id, err)
+	}
+	if err := d.Start(context.Background()); err != nil {
+		c.t.Fatalf("start %s: %v", id, err)
+	}
+	c.daemons[id] = d
+}
+
+// kill cuts an instance from the network before it ends, so that nothing of
+// its shutdown reaches the others.
+func (c *cluster) kill(id identifier.InstanceID) {
+	c.network.Kill(string(id))
+	c.network.Cut(func(from, to string) bool { return from == string(id) || to == string(id) })
+	c.stop(id)
+	c.network.Cut(nil)
+}
+
+func (c *cluster) stop(id identifier.InstanceID) {
+	if d, running := c.daemons[id]; running {
+		_ = d.Stop(context.Background())
+		delete(c.daemons, id)
+	}
+}
+
+func (c *cluster) close() {
+	for _, u := range c.upstream {
+		u.Stop()
+	}
+	for _, w := range c.workers {
+		w.Stop()
+	}
+	for id := range c.daemons {
+		c.stop(id)
+	}
+}
+
+func (c *cluster) entriesOf(centre identifier.DataCenterID) []string {
+	var addresses []string
+	for i := range c.peers {
+		if c.peers[i].DataCenter == centre && c.peers[i].Has("entry") {
+			addresses = append(addresses, c.peers[i].Address)
+		}
+	}
+	return addresses
+}
+
+func (c *cluster) host(name, token string, centre identifier.DataCenterID) faker.Host {
+	listener, err := c.network.Listen(name + ":1")
+	if err != nil {
+		c.t.Fatalf("listen: %v", err)
+	}
+	return faker.Host{Listener: listener, Dial: c.network.Dial(name), Token: token, Entries: c.entriesOf(centre)}
+}
+
+func (c *cluster) addUpstream(name string, slots int, centre identifier.DataCenterID) *faker.Upstream {
+	u := faker.NewUpstream(identifier.UpstreamID(name), slots, c.host(name, upstreamToken, centre))
+	c.upstream = append(c.upstream, u)
+	return u
+}
+
+func (c *cluster) addWorker(name, rack string, position, accelerators int, centre identifier.DataCenterID) *faker.Worker {
+	w := faker.NewWorker(placer.Worker{
+		ID: identifier.WorkerID(name), Rack: identifier.RackID(rack), Position: position,
+		Accelerator: "gpu", Accelerators: accelerators,
+	}, c.host(name, workerToken, centre))
+	c.workers = append(c.workers, w)
+	return w
+}
+
+// waitFor lets virtual time pass until a condition holds.
+func (c *cluster) waitFor(what string, limit time.Duration, holds func() bool) time.Duration {
+	c.t.Helper()
+	began := time.Now()
+	for !holds() {
+		if time.Since(began) > limit {
+			c.t.Fatalf("%s: not within %s", what, limit)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
+func (c *cluster) waitReady() {
+	c.t.Helper()
+	began := time.Now()
+	for id, d := range c.daemons {
+		for d.Ready() != nil {
+			if time.Since(began) > time.Minute {
+				c.t.Fatalf("%s is not ready: %v", id, d.Ready())
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+// reply is an HTTP answer.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+}
+
+func (r reply) code() string { return r.header.Get("Cranberry-Code") }
+
+func (c *cluster) send(to identifier.InstanceID, method, path, token string, header map[string]string, body string) (reply, error) {
+	c.clients++
+	client := &http.Client{Transport: &http.Transport{
+		DialContext: c.network.Dial(fmt.Sprintf("client%d", c.clients)), DisableKeepAlives: true,
+	}}
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Minute)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+string(to)+":7000"+path, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return reply{}, err
+	}
+	request.Header.Set("Authorization", "Bearer "+token)
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return reply{}, err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return reply{}, err
+	}
+	return reply{status: response.StatusCode, header: response.Header, body: string(data)}, nil
+}
+
+func (c *cluster) must(to identifier.InstanceID, method, path, token string, header map[string]string, body string) reply {
+	c.t.Helper()
+	answer, err := c.send(to, method, path, token, header, body)
+	if err != nil {
+		c.t.Fatalf("%s %s at %s: %v", method, path, to, err)
+	}
+	return answer
+}
+
+const testLists = `"plans":[
+  {"id":"isuku-plan","member":"isuku","teams":[{"id":"rounds","quota":0},{"id":"photos","quota":0}]},
+  {"id":"nieve-plan","member":"nieve","teams":[{"id":"routes","quota":0}]}],
+ "allowances":[
+  {"plan":"isuku-plan","accelerator":"gpu","limit":64,"adjacent":["worker","neighbours","rack","data-center"],
+   "request-share":0.5,"guarantees":[{"shape":{"adjacent":"worker","parts":1,"accelerators-per-part":8},"count":1}]},
+  {"plan":"nieve-plan","accelerator":"gpu","limit":64,"adjacent":["worker","neighbours","rack","data-center"],"request-share":0.5}]`
+
+func (c *cluster) apply(to identifier.InstanceID, requestID string, expected int, lists string) reply {
+	c.t.Helper()
+	body := fmt.Sprintf(`{"request-id":%q,"expected-version":%d,%s}`, requestID, expected, lists)
+	return c.must(to, http.MethodPut, "/v1/lists", operatorToken, nil, body)
+}
+
+func (c *cluster) version(id identifier.InstanceID) int {
+	answer, err := c.send(id, http.MethodGet, "/v1/lists", operatorToken, nil, "")
+	if err != nil || answer.status != http.StatusOK {
+		return -1
+	}
+	var lists struct {
+		Version int `json:"version"`
+	}
+	if json.Unmarshal([]byte(answer.body), &lists) != nil {
+		return -1
+	}
+	return lists.Version
+}
+
+// prepare starts everything, puts the test lists in force and waits until all
+// instances are ready.
+func (c *cluster) prepare() {
+	c.t.Helper()
+	c.startAll()
+	for _, u := range c.upstream {
+		u.Start()
+	}
+	for _, w := range c.workers {
+		w.Start()
+	}
+	first := c.peers[0].Instance
+	if answer := c.apply(first, "first", 0, testLists); answer.status != http.StatusOK {
+		c.t.Fatalf("apply: %d %s", answer.status, answer.body)
+	}
+	c.waitReady()
+	c.waitFor("lists everywhere", time.Minute, func() bool {
+		for id := range c.daemons {
+			if c.version(id) != 1 {
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(2 * time.Second)
+}
+
+func isukuRequest(key string) map[string]string {
+	header := map[string]string{
+		"Cranberry-Plan": "isuku-plan", "Cranberry-Team": "rounds", "Cranberry-Kind": "wash",
+		"Cranberry-Deadline-Ms": "5000",
+	}
+	if key != "" {
+		header["Idempotency-Key"] = key
+		header["Cranberry-Non-Idempotent"] = "true"
+	}
+	return header
+}
+
+func (c *cluster) jobState(at identifier.InstanceID, token, id string) string {
+	answer, err := c.send(at, http.MethodGet, "/v1/jobs/"+id, token, nil, "")
+	if err != nil {
+		return ""
+	}
+	var job struct {
+		State string `json:"state"`
+	}
+	if json.Unmarshal([]byte(answer.body), &job) != nil {
+		return ""
+	}
+	return job.State
+}
+
+// TestWholePath takes a request and a gang job from one end to the other.
+func TestWholePath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, trio())
+		defer c.close()
+		c.addUpstream("u1", 4, "dc1")
+		c.addUpstream("u2", 4, "dc1")
+		c.addWorker("w1", "r1", 1, 8, "dc1")
+		c.addWorker("w2", "r1", 2, 8, "dc1")
+		c.prepare()
+		for i, id := range []identifier.InstanceID{"a", "b", "c"} {
+			answer := c.must(id, http.MethodPost, "/v1/requests", isukuToken, isukuRequest(""), fmt.Sprintf("bin %d", i))
+			if want := fmt.Sprintf("done bin %d", i); answer.status != http.StatusOK || answer.body != want {
+				t.Errorf("request at %s: got %d %q, want 200 %q", id, answer.status, answer.body, want)
+			}
+			keyed := c.must(id, http.MethodPost, "/v1/requests", isukuToken, isukuRequest(fmt.Sprintf("key-%d", i)), "billed")
+			if keyed.status != http.StatusOK || keyed.body != "done billed" {
+				t.Errorf("keyed request at %s: got %d %q", id, keyed.status, keyed.body)
+			}
+		}
+		job := `{"id":"gang","plan":"isuku-plan","team":"rounds","accelerator":"gpu",
+			"shape":{"adjacent":"neighbours","parts":2,"accelerators-per-part":8}}`
+		if answer := c.must("b", http.MethodPost, "/v1/jobs", isukuToken, nil, job); answer.status != http.StatusAccepted {
+			t.Fatalf("submit: %d %s", answer.status, answer.body)
+		}
+		c.waitFor("gang finished", time.Minute, func() bool { return c.jobState("c", isukuToken, "gang") == "finished" })
+	})
+}
--- /dev/null
+++ b/cranberryd/control/control.go
@@ -0,0 +1,89 @@
+// Package control is the plug-in for instances that hold the replicated lists.
+package control
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"go.uber.org/fx"
+
+	"cranberrystack.dev/cranberryd/loader"
+	"cranberrystack.dev/cranberryd/server"
+	"cranberrystack.dev/cranberrystack/authenticator"
+	"cranberrystack.dev/cranberrystack/configurer"
+	"cranberrystack.dev/cranberrystack/controller"
+	"cranberrystack.dev/cranberrystack/kernel"
+	"cranberrystack.dev/cranberrystack/messenger"
+	"cranberrystack.dev/cranberrystack/recorder"
+	"cranberrystack.dev/cranberrystack/replicator"
+	"cranberrystack.dev/cranberrystack/spreader"
+)
+
+const logFolder = "control"
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name: controller.Role, Summary: "holds the replicated lists",
+		Option: fx.Invoke(run),
+	})
+}
+
+// Failed is called when a part can't go on, so that the process ends.
+type Failed func(error)
+
+func run(lifecycle fx.Lifecycle, settings *loader.Settings, s *server.Server, m *messenger.Messenger, sp *spreader.Spreader, f *configurer.Follower, r *recorder.Recorder, logger log.Logger, failed Failed) error {
+	var c *controller.Controller
+	config := controller.Config{
+		ID: settings.Instance, Dir: filepath.Join(settings.DataFolder, logFolder),
+		Initial: initialVoters(settings), DataCenters: settings.DataCenters,
+	}
+	c, err := controller.Open(config, m, sp, f,
+		replicator.HeartbeatInterval(time.Duration(settings.Control.HeartbeatInterval)),
+		replicator.ElectionTimeout(time.Duration(settings.Control.ElectionTimeout)),
+		replicator.CompactEntries(settings.Control.CompactEntries))
+	if err != nil {
+		return fmt.Errorf("open the control log: %w", err)
+	}
+	c.Routes(s.Group(authenticator.KindPeer))
+	r.Publish("control", func() any { return c.Status() })
+	lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go func() {
+				<-c.Done()
+				if err := c.Failure(); err != nil {
+					_ = level.Error(logger).Log("event", "control-failed", "error", err)
+					failed(err)
+				}
+			}()
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			c.Stop()
+			return nil
+		},
+	})
+	return nil
+}
+
+// initialVoters returns the voters that form a new group, or none if this
+// instance is to join one.
+func initialVoters(settings *loader.Settings) []replicator.Peer {
+	addresses := map[string]string{string(settings.Instance): settings.Address}
+	for _, peer := range settings.Peers {
+		addresses[string(peer.Instance)] = peer.Address
+	}
+	var voters []replicator.Peer
+	included := false
+	for _, id := range settings.InitialVoters {
+		included = included || id == settings.Instance
+		voters = append(voters, replicator.Peer{ID: id, Address: addresses[string(id)]})
+	}
+	if !included {
+		return nil
+	}
+	return voters
+}
--- /dev/null
+++ b/cranberryd/daemon/daemon.go
@@ -0,0 +1,89 @@
+// Package daemon assembles a process of the system from its settings.
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+
+	"github.com/go-kit/log"
+	"go.uber.org/fx"
+
+	"cranberrystack.dev/cranberryd/control"
+	_ "cranberrystack.dev/cranberryd/entry" // registers the entry plug-in
+	"cranberrystack.dev/cranberryd/loader"
+	"cranberrystack.dev/cranberryd/membership"
+	"cranberrystack.dev/cranberryd/operator"
+	_ "cranberrystack.dev/cranberryd/placement" // registers the placement plug-in
+	"cranberrystack.dev/cranberryd/server"
+	"cranberrystack.dev/cranberrystack/kernel"
+	"cranberrystack.dev/cranberrystack/messenger"
+	"cranberrystack.dev/cranberrystack/recorder"
+)
+
+// Daemon is one process of the system.
+type Daemon struct {
+	kernel   *kernel.Kernel
+	server   *server.Server
+	recorder *recorder.Recorder
+	failed   chan error
+}
+
+// New assembles a process. It does not start anything but the recovery of what
+// is on disk.
+func New(settings *loader.Settings, opts ...Option) (*Daemon, error) {
+	o := newOptions(opts...)
+	d := &Daemon{failed: make(chan error, 1)}
+	roles := append([]string(nil), settings.Roles...)
+	k, err := kernel.New(roles,
+		kernel.With(
+			fx.Supply(settings),
+			fx.Provide(
+				func() log.Logger { return o.logger },
+				func() messenger.Dial { return o.dial },
+				func() server.Listen { return o.listen },
+				func() control.Failed { return d.fail },
+			),
+			membership.Option,
+			operator.Option,
+			fx.Populate(&d.server, &d.recorder),
+		))
+	if err != nil {
+		return nil, fmt.Errorf("assemble %s: %w", settings.Instance, err)
+	}
+	d.kernel = k
+	return d, nil
+}
+
+func (d *Daemon) fail(err error) {
+	select {
+	case d.failed <- err:
+	default:
+	}
+}
+
+// Start starts the process.
+func (d *Daemon) Start(ctx context.Context) error {
+	return d.kernel.Start(ctx)
+}
+
+// Stop makes the process unready, lets requests in progress finish, refuses
+// new ones as not run, and then ends all parts.
+func (d *Daemon) Stop(ctx context.Context) error {
+	d.server.SetStopping()
+	return d.kernel.Stop(ctx)
+}
+
+// Failed yields the error after which the process can't go on.
+func (d *Daemon) Failed() <-chan error { return d.failed }
+
+// Ready returns why the process is not ready, or nil.
+func (d *Daemon) Ready() error { return d.server.Ready() }
+
+// Recorder returns the histograms and counters of the process.
+func (d *Daemon) Recorder() *recorder.Recorder { return d.recorder }
+
+// Listener is the default way to open a listener.
+func Listener(address string) (net.Listener, error) {
+	return net.Listen("tcp", address)
+}
--- /dev/null
+++ b/cranberryd/daemon/options.go
@@ -0,0 +1,41 @@
+package daemon
+
+import (
+	"net"
+
+	"github.com/go-kit/log"
+
+	"cranberrystack.dev/cranberryd/server"
+	"cranberrystack.dev/cranberrystack/messenger"
+)
+
+type options struct {
+	logger log.Logger
+	listen server.Listen
+	dial   messenger.Dial
+}
+
+// Option changes how a process is assembled.
+type Option func(*options)
+
+func newOptions(opts ...Option) options {
+	dialer := &net.Dialer{}
+	o := options{logger: log.NewNopLogger(), listen: Listener, dial: dialer.DialContext}
+	for _, apply := range opts {
+		apply(&o)
+	}
+	return o
+}
+
+// Logger sets where events are logged.
+func Logger(logger log.Logger) Option {
+	return func(o *options) { o.logger = logger }
+}
+
+// Network replaces the operating system's network.
+func Network(listen server.Listen, dial messenger.Dial) Option {
+	return func(o *options) {
+		o.listen = listen
+		o.dial = dial
+	}
+}
--- /dev/null
+++ b/cranberryd/entry/entry.go
@@ -0,0 +1,136 @@
+// Package entry is the plug-in for instances that callers, upstreams and
+// workers talk to.
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/fx"
+
+	"cranberrystack.dev/cranberryd/loader"
+	"cranberrystack.dev/cranberryd/server"
+	"cranberrystack.dev/cranberrystack/announcer"
+	"cranberrystack.dev/cranberrystack/authenticator"
+	"cranberrystack.dev/cranberrystack/claimer"
+	"cranberrystack.dev/cranberrystack/configurer"
+	"cranberrystack.dev/cranberrystack/connector"
+	"cranberrystack.dev/cranberrystack/controller"
+	"cranberrystack.dev/cranberrystack/dispatcher"
+	"cranberrystack.dev/cranberrystack/identifier"
+	"cranberrystack.dev/cranberrystack/kernel"
+	"cranberrystack.dev/cranberrystack/limiter"
+	"cranberrystack.dev/cranberrystack/messenger"
+	"cranberrystack.dev/cranberrystack/overseer"
+	"cranberrystack.dev/cranberrystack/recorder"
+	"cranberrystack.dev/cranberrystack/registrar"
+)
+
+// Role is the role of instances that callers talk to.
+const Role = "entry"
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name: Role, Summary: "takes requests and jobs from callers",
+		Option: fx.Options(
+			fx.Provide(newRegistrar, newClaimer, newDispatcher, newJobClient),
+			fx.Invoke(serveRequests, serveUpstreams, serveJobs, serveWorkers),
+		),
+	})
+}
+
+func newRegistrar(settings *loader.Settings) *registrar.Registrar {
+	return registrar.New(time.Duration(settings.Requests.UpstreamExpiry))
+}
+
+func newJobClient(settings *loader.Settings, a *announcer.Announcer, m *messenger.Messenger, f *configurer.Follower) *overseer.Client {
+	return overseer.NewClient(a, m, f, settings.DataCenter)
+}
+
+// claimPeers returns the other instances of the data centre's claim group. The
+// group is set by the settings alone, so that all instances agree on it.
+func claimPeers(settings *loader.Settings) []claimer.Peer {
+	var peers []claimer.Peer
+	for i := range settings.Peers {
+		peer := &settings.Peers[i]
+		if peer.DataCenter == settings.DataCenter && peer.Has(Role) && peer.Instance != settings.Instance {
+			peers = append(peers, claimer.Peer{ID: peer.Instance, Address: peer.Address})
+		}
+	}
+	return peers
+}
+
+func newClaimer(lifecycle fx.Lifecycle, settings *loader.Settings, a *announcer.Announcer, m *messenger.Messenger, f *configurer.Follower, client *controller.Client, r *recorder.Recorder) *claimer.Claimer {
+	seams := claimer.Seams{
+		Group: func() configurer.ClaimGroup {
+			view := f.View()
+			return view.Group(settings.DataCenter)
+		},
+		Propose: func(ctx context.Context, group configurer.ClaimGroup) error {
+			command := configurer.Command{Kind: configurer.CommandGroup, RequestID: uuid.NewString(), Group: &group}
+			_, err := client.Propose(ctx, command)
+			return err
+		},
+	}
+	c := claimer.New(settings.Instance, a.Self().Incarnation, settings.DataCenter, claimPeers(settings), m, seams,
+		claimer.Keep(time.Duration(settings.Requests.KeepAnswers)),
+		claimer.MaxBytes(settings.Requests.ClaimBytes))
+	r.Publish("claims", func() any { return c.Usage() })
+	lifecycle.Append(fx.StartStopHook(c.Start, c.Stop))
+	return c
+}
+
+func newDispatcher(lifecycle fx.Lifecycle, settings *loader.Settings, reg *registrar.Registrar, c *claimer.Claimer, r *recorder.Recorder, dial messenger.Dial, f *configurer.Follower, a *announcer.Announcer) *dispatcher.Dispatcher {
+	d := dispatcher.New(dispatcher.Parts{
+		Self: settings.Instance, Registrar: reg, Claims: c, Recorder: r,
+		Dial: connector.Dial(dial), View: f.View,
+		Entries: func() []identifier.InstanceID { return entryIDs(a, settings.DataCenter) },
+	}, dispatcher.Limits(limiter.QueueLength(settings.Requests.QueueLength)),
+		dispatcher.Connectors(connector.MaxAnswerBytes(settings.Requests.MaxAnswerBytes)))
+	r.Publish("load", func() any { return d.Load() })
+	lifecycle.Append(fx.StartStopHook(d.Start, func() {
+		d.Drain()
+		d.Stop()
+	}))
+	return d
+}
+
+// entries returns the other live entry instances of a data centre.
+func entries(a *announcer.Announcer, dataCenter identifier.DataCenterID) []announcer.Member {
+	var members []announcer.Member
+	for _, member := range a.Alive(Role) {
+		if member.DataCenter == dataCenter {
+			members = append(members, member)
+		}
+	}
+	return members
+}
+
+func entryIDs(a *announcer.Announcer, dataCenter identifier.DataCenterID) []identifier.InstanceID {
+	var ids []identifier.InstanceID
+	for _, member := range entries(a, dataCenter) {
+		ids = append(ids, member.ID)
+	}
+	return ids
+}
+
+var errClaims = errors.New("claims are not recovered yet")
+
+// serveRequests adds the callers' interface for requests.
+func serveRequests(s *server.Server, settings *loader.Settings, d *dispatcher.Dispatcher, c *claimer.Claimer, a *announcer.Announcer, dial messenger.Dial) {
+	h := &requestHandler{settings: settings, dispatcher: d, announcer: a, dial: dial}
+	callers := s.Group(authenticator.KindCaller)
+	callers.POST("/v1/requests", h.submit)
+	callers.POST("/v1/keys", h.issueKey)
+	peers := s.Group(authenticator.KindPeer)
+	peers.POST(forwardPath, h.forwarded)
+	c.Routes(peers)
+	s.AddCheck(func() error {
+		if !c.Ready() {
+			return errClaims
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/cranberryd/entry/jobs.go
@@ -0,0 +1,214 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/google/uuid"
+
+	"cranberrystack.dev/cranberryd/server"
+	"cranberrystack.dev/cranberrystack/authenticator"
+	"cranberrystack.dev/cranberrystack/identifier"
+	"cranberrystack.dev/cranberrystack/overseer"
+	"cranberrystack.dev/cranberrystack/packer"
+	"cranberrystack.dev/cranberrystack/placer"
+	"cranberrystack.dev/cranberrystack/responder"
+)
+
+const (
+	maxJobBytes  = 1 << 20
+	jobTimeout   = 10 * time.Second
+	jobRetryWait = 200 * time.Millisecond
+	watchLimit   = 30 * time.Second
+	watchStep    = 100 * time.Millisecond
+	maxIDBytes   = 100
+)
+
+type jobMessage struct {
+	// ID may be empty; the answer then names a new one. With an id a resend
+	// is safe.
+	ID              identifier.JobID  `json:"id"`
+	Plan            identifier.PlanID `json:"plan"`
+	Team            identifier.TeamID `json:"team"`
+	Accelerator     string            `json:"accelerator"`
+	Shape           packer.Shape      `json:"shape"`
+	Kind            string            `json:"kind"`
+	Checkpointable  bool              `json:"checkpointable"`
+	Urgent          bool              `json:"urgent"`
+	DeclaredRunTime int64             `json:"declared-run-time-ms"`
+	MemoryBytes     int64             `json:"memory-bytes"`
+	Payload         []byte            `json:"payload"`
+}
+
+type jobAnswer struct {
+	ID         identifier.JobID      `json:"id"`
+	Plan       identifier.PlanID     `json:"plan"`
+	Team       identifier.TeamID     `json:"team,omitempty"`
+	State      placer.State          `json:"state"`
+	Attempt    uint64                `json:"attempt"`
+	Workers    []identifier.WorkerID `json:"workers,omitempty"`
+	Guaranteed bool                  `json:"guaranteed"`
+	Progress   int64                 `json:"progress-ms"`
+	Reclaims   int                   `json:"reclaims"`
+	Straggler  bool                  `json:"straggler,omitempty"`
+	Reason     string                `json:"reason,omitempty"`
+	Submitted  time.Time             `json:"submitted"`
+	Started    time.Time             `json:"started,omitzero"`
+	Ended      time.Time             `json:"ended,omitzero"`
+}
+
+func answerOf(job placer.Job) jobAnswer {
+	answer := jobAnswer{
+		ID: job.Spec.ID, Plan: job.Spec.Plan, Team: job.Spec.Team, State: job.State,
+		Attempt: job.Attempt, Guaranteed: job.Guaranteed, Progress: job.Progress.Milliseconds(),
+		Reclaims: job.Reclaims, Straggler: job.Straggler, Reason: job.Reason,
+		Submitted: job.Submitted, Started: job.Started, Ended: job.Ended,
+	}
+	for _, piece := range job.Pieces {
+		answer.Workers = append(answer.Workers, piece.Worker)
+	}
+	return answer
+}
+
+type jobHandler struct {
+	client *overseer.Client
+}
+
+func serveJobs(s *server.Server, client *overseer.Client) {
+	h := &jobHandler{client: client}
+	callers := s.Group(authenticator.KindCaller)
+	callers.POST("/v1/jobs", h.submit)
+	callers.GET("/v1/jobs", h.list)
+	callers.GET("/v1/jobs/:id", h.get)
+	callers.DELETE("/v1/jobs/:id", h.cancel)
+}
+
+func (h *jobHandler) submit(c *gin.Context) {
+	var message jobMessage
+	if !responder.Decode(c, maxJobBytes, &message) {
+		return
+	}
+	if message.Plan == "" || message.Accelerator == "" || len(message.ID) > maxIDBytes || message.DeclaredRunTime < 0 || message.MemoryBytes < 0 {
+		invalid(c, "plan and accelerator are required, id is at most 100 bytes, numbers are not negative")
+		return
+	}
+	if message.ID == "" {
+		message.ID = identifier.JobID(uuid.NewString())
+	}
+	spec := placer.Spec{
+		ID: message.ID, Member: server.Identity(c).Member, Plan: message.Plan, Team: message.Team,
+		Accelerator: message.Accelerator, Shape: message.Shape, Kind: message.Kind,
+		Checkpointable: message.Checkpointable, Urgent: message.Urgent,
+		Declared:    time.Duration(message.DeclaredRunTime) * time.Millisecond,
+		MemoryBytes: message.MemoryBytes, Payload: message.Payload,
+	}
+	err := h.retry(c, func(ctx context.Context) error { return h.client.Submit(ctx, spec) })
+	if err != nil {
+		failJob(c, err)
+		return
+	}
+	h.show(c, spec.Member, spec.ID, http.StatusAccepted)
+}
+
+// retry asks again while the data centre's placement has no owner. Every
+// message to the owner is idempotent.
+func (h *jobHandler) retry(c *gin.Context, call func(ctx context.Context) error) error {
+	ctx, cancel := context.WithTimeout(c.Request.Context(), jobTimeout)
+	defer cancel()
+	for {
+		err := call(ctx)
+		if !errors.Is(err, overseer.ErrNoOwner) && !errors.Is(err, overseer.ErrNotOwner) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(jobRetryWait):
+		}
+	}
+}
+
+// failJob answers a call without a result. Whether an unreachable owner has
+// taken the job is unknown; sending it again with the same id tells.
+func failJob(c *gin.Context, err error) {
+	if errors.Is(err, overseer.ErrNoOwner) {
+		responder.Fail(c, responder.Problem{
+			Status: http.StatusGatewayTimeout, Code: responder.CodeOutcomeUnknown,
+			Reason: err.Error(), RetryAfter: time.Second,
+		})
+		return
+	}
+	responder.Fail(c, overseer.ProblemOf(err))
+}
+
+func (h *jobHandler) show(c *gin.Context, member identifier.MemberID, id identifier.JobID, status int) {
+	var job placer.Job
+	err := h.retry(c, func(ctx context.Context) error {
+		var err error
+		job, err = h.client.Job(ctx, member, id)
+		return err
+	})
+	if err != nil {
+		failJob(c, err)
+		return
+	}
+	c.JSON(status, answerOf(job))
+}
+
+// get returns a job. With ?after=STATE it waits until the state is another,
+// for some seconds at most.
+func (h *jobHandler) get(c *gin.Context) {
+	member := server.Identity(c).Member
+	id := identifier.JobID(c.Param("id"))
+	after := placer.State(c.Query("after"))
+	end := time.Now().Add(watchLimit)
+	for after != "" && time.Now().Before(end) {
+		job, err := h.client.Job(c.Request.Context(), member, id)
+		if errors.Is(err, placer.ErrNoSuchJob) || (err == nil && job.State != after) {
+			break
+		}
+		select {
+		case <-c.Request.Context().Done():
+			return
+		case <-time.After(watchStep):
+		}
+	}
+	h.show(c, member, id, http.StatusOK)
+}
+
+type jobsAnswer struct {
+	Jobs []jobAnswer `json:"jobs"`
+}
+
+func (h *jobHandler) list(c *gin.Context) {
+	member := server.Identity(c).Member
+	var jobs []placer.Job
+	err := h.retry(c, func(ctx context.Context) error {
+		var err error
+		jobs, err = h.client.Jobs(ctx, member)
+		return err
+	})
+	if err != nil {
+		failJob(c, err)
+		return
+	}
+	answer := jobsAnswer{Jobs: []jobAnswer{}}
+	for _, job := range jobs {
+		answer.Jobs = append(answer.Jobs, answerOf(job))
+	}
+	c.JSON(http.StatusOK, answer)
+}
+
+func (h *jobHandler) cancel(c *gin.Context) {
+	member := server.Identity(c).Member
+	id := identifier.JobID(c.Param("id"))
+	err := h.retry(c, func(ctx context.Context) error { return h.client.Cancel(ctx, member, id) })
+	if err != nil {
+		failJob(c, err)
+		return
+	}
+	h.show(c, member, id, http.StatusOK)
+}
--- /dev/null
+++ b/cranberryd/entry/requests.go
@@ -0,0 +1,226 @@
+package entry
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gin-gonic/gin"
+	"github.com/google/uuid"
+
+	"cranberrystack.dev/cranberryd/loader"
+	"cranberrystack.dev/cranberryd/server"
+	"cranberrystack.dev/cranberrystack/announcer"
+	"cranberrystack.dev/cranberrystack/claimer"
+	"cranberrystack.dev/cranberrystack/connector"
+	"cranberrystack.dev/cranberrystack/dispatcher"
+	"cranberrystack.dev/cranberrystack/identifier"
+	"cranberrystack.dev/cranberrystack/limiter"
+	"cranberrystack.dev/cranberrystack/messenger"
+	"cranberrystack.dev/cranberrystack/responder"
+)
+
+// Headers of the callers' interface.
+const (
+	headerPlan          = "Cranberry-Plan"
+	headerTeam          = "Cranberry-Team"
+	headerKind          = "Cranberry-Kind"
+	headerClass         = "Cranberry-Class"
+	headerDeadline      = "Cranberry-Deadline-Ms"
+	headerNonIdempotent = "Cranberry-Non-Idempotent"
+	headerKey           = "Idempotency-Key"
+	headerDataCenter    = "Cranberry-Data-Center"
+	headerMember        = "Cranberry-Forwarded-Member"
+)
+
+const (
+	defaultDeadline = 30 * time.Second
+	maxKeyBytes     = 200
+	maxLabelBytes   = 100
+	// keySeparator divides a key's data centre from the rest.
+	keySeparator = ":"
+)
+
+type requestHandler struct {
+	settings   *loader.Settings
+	dispatcher *dispatcher.Dispatcher
+	announcer  *announcer.Announcer
+	dial       messenger.Dial
+}
+
+type issuedKey struct {
+	Key identifier.RequestKey `json:"key"`
+}
+
+// issueKey returns a fresh key that belongs to this data centre.
+func (h *requestHandler) issueKey(c *gin.Context) {
+	key := string(h.settings.DataCenter) + keySeparator + uuid.NewString()
+	c.JSON(http.StatusOK, issuedKey{Key: identifier.RequestKey(key)})
+}
+
+func (h *requestHandler) submit(c *gin.Context) {
+	request, ok := h.read(c, server.Identity(c).Member)
+	if !ok {
+		return
+	}
+	if home := h.home(request); home != h.settings.DataCenter {
+		h.forward(c, request, home)
+		return
+	}
+	h.run(c, request)
+}
+
+// forwarded takes a keyed request from an instance of another data centre.
+func (h *requestHandler) forwarded(c *gin.Context) {
+	request, ok := h.read(c, identifier.MemberID(c.GetHeader(headerMember)))
+	if ok {
+		h.run(c, request)
+	}
+}
+
+func (h *requestHandler) run(c *gin.Context, request dispatcher.Request) {
+	answer, err := h.dispatcher.Submit(c.Request.Context(), request)
+	c.Header(headerDataCenter, string(h.settings.DataCenter))
+	if err != nil {
+		responder.Fail(c, problemOf(err))
+		return
+	}
+	c.Header("Content-Length", strconv.Itoa(len(answer.Body)))
+	c.Data(answer.Status, answer.ContentType, answer.Body)
+}
+
+// home returns the data centre whose claims decide about a request. A key
+// names it before the separator; any other key has one by its hash.
+func (h *requestHandler) home(request dispatcher.Request) identifier.DataCenterID {
+	if !request.NonIdempotent || request.Key == "" {
+		return h.settings.DataCenter
+	}
+	if named, _, found := strings.Cut(string(request.Key), keySeparator); found {
+		for _, dataCenter := range h.settings.DataCenters {
+			if string(dataCenter) == named {
+				return dataCenter
+			}
+		}
+	}
+	var best identifier.DataCenterID
+	var bestHash uint64
+	for _, dataCenter := range h.settings.DataCenters {
+		hash := xxhash.Sum64String(string(dataCenter) + "\x00" + string(request.Member) + "\x00" + string(request.Key))
+		if best == "" || hash > bestHash {
+			best, bestHash = dataCenter, hash
+		}
+	}
+	return best
+}
+
+func invalid(c *gin.Context, reason string) {
+	responder.Fail(c, responder.Problem{Status: http.StatusBadRequest, Code: responder.CodeInvalid, Reason: reason})
+}
+
+// read builds a request from headers and body. If it returns false it has
+// written the error answer.
+func (h *requestHandler) read(c *gin.Context, member identifier.MemberID) (dispatcher.Request, bool) {
+	request := dispatcher.Request{
+		Member: member, Plan: identifier.PlanID(c.GetHeader(headerPlan)),
+		Team: identifier.TeamID(c.GetHeader(headerTeam)), Kind: c.GetHeader(headerKind),
+		Key: identifier.RequestKey(c.GetHeader(headerKey)), ContentType: c.ContentType(),
+	}
+	for _, label := range []string{string(request.Plan), string(request.Team), request.Kind} {
+		if len(label) > maxLabelBytes {
+			invalid(c, "plan, team and kind are at most "+strconv.Itoa(maxLabelBytes)+" bytes")
+			return request, false
+		}
+	}
+	switch {
+	case request.Plan == "":
+		invalid(c, headerPlan+" is missing")
+		return request, false
+	case len(request.Key) > maxKeyBytes:
+		invalid(c, headerKey+" is over "+strconv.Itoa(maxKeyBytes)+" bytes")
+		return request, false
+	}
+	return request, h.readClass(c, &request) && h.readDeadline(c, &request) && h.readBody(c, &request)
+}
+
+func (h *requestHandler) readClass(c *gin.Context, request *dispatcher.Request) bool {
+	switch class := c.GetHeader(headerClass); class {
+	case "", string(limiter.ClassShort):
+		request.Class = limiter.ClassShort
+	case string(limiter.ClassLong):
+		request.Class = limiter.ClassLong
+	default:
+		invalid(c, headerClass+" is \"short\" or \"long\"")
+		return false
+	}
+	switch flag := c.GetHeader(headerNonIdempotent); flag {
+	case "", "false":
+	case "true":
+		request.NonIdempotent = true
+	default:
+		invalid(c, headerNonIdempotent+" is \"true\" or \"false\"")
+		return false
+	}
+	return true
+}
+
+func (h *requestHandler) readDeadline(c *gin.Context, request *dispatcher.Request) bool {
+	limit := time.Duration(h.settings.Requests.MaxDeadline)
+	wait := min(defaultDeadline, limit)
+	if text := c.GetHeader(headerDeadline); text != "" {
+		number, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || number < 0 || number > limit.Milliseconds() {
+			invalid(c, headerDeadline+" is a number from 0 to "+strconv.FormatInt(limit.Milliseconds(), 10))
+			return false
+		}
+		wait = time.Duration(number) * time.Millisecond
+	}
+	request.Deadline = time.Now().Add(wait)
+	return true
+}
+
+func (h *requestHandler) readBody(c *gin.Context, request *dispatcher.Request) bool {
+	limit := h.settings.Requests.MaxBodyBytes
+	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		responder.Fail(c, responder.Problem{
+			Status: http.StatusRequestEntityTooLarge, Code: responder.CodeTooLarge,
+			Reason: "body is over " + strconv.FormatInt(limit, 10) + " bytes",
+		})
+		return false
+	}
+	if err != nil {
+		invalid(c, "body could not be read")
+		return false
+	}
+	request.Body = body
+	return true
+}
+
+// problemOf returns the answer to a request that got none from an upstream.
+func problemOf(err error) responder.Problem {
+	var refusal *dispatcher.Refusal
+	if !errors.As(err, &refusal) {
+		return responder.Problem{Status: http.StatusBadGateway, Code: responder.CodeOutcomeUnknown, Reason: err.Error()}
+	}
+	problem := responder.Problem{Reason: refusal.Cause.Error(), RetryAfter: refusal.RetryAfter}
+	switch {
+	case errors.Is(err, dispatcher.ErrNoSuchPlan):
+		problem.Status, problem.Code = http.StatusForbidden, responder.CodeNoSuchPlan
+	case errors.Is(err, claimer.ErrKeyReused), errors.Is(err, dispatcher.ErrInProgress):
+		problem.Status, problem.Code = http.StatusConflict, responder.CodeConflict
+	case errors.Is(err, limiter.ErrOverloaded):
+		problem.Status, problem.Code = http.StatusTooManyRequests, responder.CodeOverloaded
+	case refusal.NotRun:
+		problem.Status, problem.Code = http.StatusServiceUnavailable, responder.CodeNotRun
+	case errors.Is(err, connector.ErrAnswerTooLarge):
+		problem.Status, problem.Code = http.StatusBadGateway, responder.CodeTooLarge
+	default:
+		problem.Status, problem.Code = http.StatusGatewayTimeout, responder.CodeOutcomeUnknown
+	}
+	return problem
+}
--- /dev/null
+++ b/cranberryd/loader/loader.go
@@ -0,0 +1,313 @@
+// Package loader reads and checks the settings of a process. Settings are one
+// JSON file; a fault in it is reported in one line that names the file, the
+// key and the rule.
+package loader
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/rotisserie/eris"
+
+	"cranberrystack.dev/cranberrystack/authenticator"
+	"cranberrystack.dev/cranberrystack/identifier"
+)
+
+// ErrInvalid reports settings that break a rule.
+var ErrInvalid = eris.New("settings are invalid")
+
+// Duration is a time.Duration written as text, such as "1.5s".
+type Duration time.Duration
+
+// UnmarshalJSON reads the text form.
+func (d *Duration) UnmarshalJSON(data []byte) error {
+	var text string
+	if err := json.Unmarshal(data, &text); err != nil {
+		return fmt.Errorf("a time is written as text such as \"1.5s\": %w", err)
+	}
+	parsed, err := time.ParseDuration(text)
+	if err != nil {
+		return fmt.Errorf("read time: %w", err)
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// MarshalJSON writes the text form.
+func (d Duration) MarshalJSON() ([]byte, error) {
+	return json.Marshal(time.Duration(d).String())
+}
+
+// Peer is another instance of the system, or this one.
+type Peer struct {
+	Instance   identifier.InstanceID   `json:"instance" validate:"required"`
+	Address    string                  `json:"address" validate:"required,hostname_port"`
+	DataCenter identifier.DataCenterID `json:"data-center" validate:"required"`
+	Region     identifier.RegionID     `json:"region" validate:"required"`
+	Roles      []string                `json:"roles" validate:"min=1,dive,oneof=entry control placement"`
+}
+
+// Has reports whether the peer has a role.
+func (p *Peer) Has(role string) bool {
+	for _, own := range p.Roles {
+		if own == role {
+			return true
+		}
+	}
+	return false
+}
+
+// Token couples a bearer token with the party that presents it.
+type Token struct {
+	Token   string              `json:"token" validate:"required,min=16"`
+	Kind    authenticator.Kind  `json:"kind" validate:"oneof=caller upstream worker operator peer"`
+	Subject string              `json:"subject" validate:"required"`
+	Member  identifier.MemberID `json:"member,omitempty" validate:"required_if=Kind caller"`
+}
+
+// Requests tunes the entry role.
+type Requests struct {
+	MaxBodyBytes   int64    `json:"max-body-bytes" validate:"min=1,max=67108864"`
+	MaxAnswerBytes int64    `json:"max-answer-bytes" validate:"min=1,max=67108864"`
+	MaxDeadline    Duration `json:"max-deadline" validate:"min=1"`
+	QueueLength    int      `json:"queue-length" validate:"min=1,max=100000"`
+	KeepAnswers    Duration `json:"keep-answers" validate:"min=1"`
+	ClaimBytes     int64    `json:"claim-bytes" validate:"min=65536"`
+	UpstreamExpiry Duration `json:"upstream-expiry" validate:"min=1"`
+}
+
+// Jobs tunes the placement role.
+type Jobs struct {
+	Lease        Duration `json:"lease" validate:"min=1"`
+	LeaseMargin  Duration `json:"lease-margin" validate:"min=1"`
+	Grace        Duration `json:"grace" validate:"min=1"`
+	Silence      Duration `json:"silence" validate:"min=1"`
+	ReserveAfter Duration `json:"reserve-after" validate:"min=1"`
+}
+
+// Control tunes the control role.
+type Control struct {
+	HeartbeatInterval Duration `json:"heartbeat-interval" validate:"min=1"`
+	ElectionTimeout   Duration `json:"election-timeout" validate:"min=1,gtfield=HeartbeatInterval"`
+	CompactEntries    int      `json:"compact-entries" validate:"min=10"`
+}
+
+// Membership tunes how instances tell each other apart from failed ones.
+type Membership struct {
+	ProbeInterval  Duration `json:"probe-interval" validate:"min=1"`
+	SuspectTimeout Duration `json:"suspect-timeout" validate:"min=1"`
+}
+
+// Settings are all that a process has to know.
+type Settings struct {
+	Instance   identifier.InstanceID   `json:"instance" validate:"required"`
+	Address    string                  `json:"address" validate:"required,hostname_port"`
+	DataCenter identifier.DataCenterID `json:"data-center" validate:"required"`
+	Region     identifier.RegionID     `json:"region" validate:"required"`
+	Roles      []string                `json:"roles" validate:"min=1,unique,dive,oneof=entry control placement"`
+	// DataFolder keeps durable state. The control role needs one.
+	DataFolder string `json:"data-folder,omitempty"`
+	// DataCenters lists all of them, the same on every instance.
+	DataCenters []identifier.DataCenterID `json:"data-centers" validate:"min=1,unique,dive,required"`
+	// Peers lists the instances to begin with, the same on every instance.
+	Peers []Peer `json:"peers" validate:"dive"`
+	// InitialVoters names the control instances that form the log.
+	InitialVoters []identifier.InstanceID `json:"initial-voters,omitempty" validate:"max=7,unique"`
+	// PeerToken is what this process presents to its peers and to workers.
+	PeerToken  string     `json:"peer-token" validate:"required,min=16"`
+	Tokens     []Token    `json:"tokens" validate:"dive"`
+	Requests   Requests   `json:"requests"`
+	Jobs       Jobs       `json:"jobs"`
+	Control    Control    `json:"control"`
+	Membership Membership `json:"membership"`
+}
+
+// Has reports whether the process has a role.
+func (s *Settings) Has(role string) bool {
+	for _, own := range s.Roles {
+		if own == role {
+			return true
+		}
+	}
+	return false
+}
+
+// Self returns this process as a peer.
+func (s *Settings) Self() Peer {
+	return Peer{Instance: s.Instance, Address: s.Address, DataCenter: s.DataCenter, Region: s.Region, Roles: s.Roles}
+}
+
+// LoadFile reads and checks a settings file. Errors wrap ErrInvalid.
+func LoadFile(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w: %w", path, err, ErrInvalid)
+	}
+	settings, err := Load(data)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return settings, nil
+}
+
+// Load reads and checks settings on top of the defaults.
+func Load(data []byte) (*Settings, error) {
+	settings := Default()
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(settings); err != nil {
+		return nil, fmt.Errorf("%s: %w", describeSyntax(err), ErrInvalid)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return nil, fmt.Errorf("text follows the settings: %w", ErrInvalid)
+	}
+	if err := Check(settings); err != nil {
+		return nil, err
+	}
+	return settings, nil
+}
+
+func describeSyntax(err error) string {
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) {
+		return fmt.Sprintf("key %q: must be %s, is %s", wrongType.Field, kindName(wrongType.Type), wrongType.Value)
+	}
+	if name, found := strings.CutPrefix(err.Error(), "json: unknown field "); found {
+		return fmt.Sprintf("key %s: is not known", name)
+	}
+	return strings.TrimPrefix(err.Error(), "json: ")
+}
+
+func kindName(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.Slice:
+		return "a list"
+	case reflect.Struct, reflect.Map:
+		return "an object"
+	case reflect.String:
+		return "text"
+	case reflect.Bool:
+		return "true or false"
+	}
+	return "a number"
+}
+
+var rules = newRules()
+
+func newRules() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(field reflect.StructField) string {
+		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+		return name
+	})
+	return v
+}
+
+// Check returns the first rule that settings break. Errors wrap ErrInvalid.
+func Check(settings *Settings) error {
+	err := rules.Struct(settings)
+	var faults validator.ValidationErrors
+	if errors.As(err, &faults) {
+		return faultOf(faults[0])
+	}
+	if err != nil {
+		return fmt.Errorf("%w: %w", err, ErrInvalid)
+	}
+	return checkTogether(settings)
+}
+
+func faultOf(fault validator.FieldError) error {
+	key := strings.TrimPrefix(fault.Namespace(), "Settings.")
+	rule := fault.Tag()
+	if fault.Param() != "" {
+		rule += " " + fault.Param()
+	}
+	return fmt.Errorf("key %q: breaks the rule %q: %w", key, rule, ErrInvalid)
+}
+
+// checkTogether checks rules that concern several keys.
+func checkTogether(s *Settings) error {
+	known := map[identifier.DataCenterID]bool{}
+	for _, dataCenter := range s.DataCenters {
+		known[dataCenter] = true
+	}
+	if !known[s.DataCenter] {
+		return fmt.Errorf("key %q: %q is not in \"data-centers\": %w", "data-center", s.DataCenter, ErrInvalid)
+	}
+	if s.Has("control") && s.DataFolder == "" {
+		return fmt.Errorf("key %q: the control role needs one: %w", "data-folder", ErrInvalid)
+	}
+	seen := map[identifier.InstanceID]bool{}
+	for i := range s.Peers {
+		peer := &s.Peers[i]
+		if seen[peer.Instance] {
+			return fmt.Errorf("key %q: %q is listed twice: %w", "peers", peer.Instance, ErrInvalid)
+		}
+		seen[peer.Instance] = true
+		if !known[peer.DataCenter] {
+			return fmt.Errorf("key %q: %q of %q is not in \"data-centers\": %w", "peers", peer.DataCenter, peer.Instance, ErrInvalid)
+		}
+	}
+	for _, voter := range s.InitialVoters {
+		if voter != s.Instance && !seen[voter] {
+			return fmt.Errorf("key %q: %q is not among the peers: %w", "initial-voters", voter, ErrInvalid)
+		}
+	}
+	return checkTokens(s)
+}
+
+func checkTokens(s *Settings) error {
+	seen := map[string]bool{}
+	for _, token := range s.Tokens {
+		if seen[token.Token] {
+			return fmt.Errorf("key %q: the token of %q is used twice: %w", "tokens", token.Subject, ErrInvalid)
+		}
+		seen[token.Token] = true
+	}
+	return nil
+}
+
+// CheckAddress reports an address that can't be listened on.
+func CheckAddress(address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("key %q: %w: %w", "address", err, ErrInvalid)
+	}
+	if err := listener.Close(); err != nil {
+		return fmt.Errorf("close %s: %w", address, err)
+	}
+	return nil
+}
+
+// Default returns the defaults. What has none stays empty and has to be set.
+func Default() *Settings {
+	return &Settings{
+		Requests: Requests{
+			MaxBodyBytes: 1 << 20, MaxAnswerBytes: 1 << 20,
+			MaxDeadline: Duration(10 * time.Minute), QueueLength: 1024,
+			KeepAnswers: Duration(6 * time.Hour), ClaimBytes: 48 << 20,
+			UpstreamExpiry: Duration(5 * time.Second),
+		},
+		Jobs: Jobs{
+			Lease: Duration(time.Minute), LeaseMargin: Duration(5 * time.Second),
+			Grace: Duration(30 * time.Second), Silence: Duration(15 * time.Second),
+			ReserveAfter: Duration(30 * time.Second),
+		},
+		Control: Control{
+			HeartbeatInterval: Duration(500 * time.Millisecond),
+			ElectionTimeout:   Duration(2 * time.Second), CompactEntries: 2000,
+		},
+		Membership: Membership{
+			ProbeInterval: Duration(time.Second), SuspectTimeout: Duration(3 * time.Second),
+		},
+	}
+}
--- /dev/null
+++ b/cranberryd/membership/membership.go
@@ -0,0 +1,125 @@
+// Package membership provides the parts that every process has: identity, the
+// server, the messenger, the membership between instances, and the lists in
+// force.
+package membership
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/fx"
+
+	"cranberrystack.dev/cranberryd/loader"
+	"cranberrystack.dev/cranberryd/server"
+	"cranberrystack.dev/cranberrystack/announcer"
+	"cranberrystack.dev/cranberrystack/authenticator"
+	"cranberrystack.dev/cranberrystack/configurer"
+	"cranberrystack.dev/cranberrystack/controller"
+	"cranberrystack.dev/cranberrystack/identifier"
+	"cranberrystack.dev/cranberrystack/messenger"
+	"cranberrystack.dev/cranberrystack/recorder"
+	"cranberrystack.dev/cranberrystack/spreader"
+)
+
+// Option provides the parts.
+var Option = fx.Options(
+	fx.Provide(
+		recorder.New, newAuthenticator, newMessenger, newAnnouncer, newFollower,
+		newSpreader, controller.NewClient, server.New,
+	),
+	fx.Invoke(serve),
+)
+
+func newAuthenticator(settings *loader.Settings) *authenticator.Authenticator {
+	credentials := []authenticator.Credential{{
+		Token:    settings.PeerToken,
+		Identity: authenticator.Identity{Kind: authenticator.KindPeer, Subject: "peer"},
+	}}
+	for _, token := range settings.Tokens {
+		credentials = append(credentials, authenticator.Credential{
+			Token:    token.Token,
+			Identity: authenticator.Identity{Kind: token.Kind, Subject: token.Subject, Member: token.Member},
+		})
+	}
+	return authenticator.New(credentials)
+}
+
+func newMessenger(lifecycle fx.Lifecycle, settings *loader.Settings, dial messenger.Dial) *messenger.Messenger {
+	m := messenger.New(settings.PeerToken, dial)
+	lifecycle.Append(fx.StopHook(m.Close))
+	return m
+}
+
+func newFollower() *configurer.Follower {
+	return configurer.NewFollower(time.Now())
+}
+
+func memberOf(peer loader.Peer) announcer.Member {
+	return announcer.Member{
+		ID: peer.Instance, Address: peer.Address, DataCenter: peer.DataCenter,
+		Region: peer.Region, Roles: peer.Roles,
+	}
+}
+
+func newAnnouncer(settings *loader.Settings, m *messenger.Messenger) *announcer.Announcer {
+	var seeds []announcer.Member
+	for _, peer := range settings.Peers {
+		seeds = append(seeds, memberOf(peer))
+	}
+	self := memberOf(settings.Self())
+	self.Incarnation = identifier.Incarnation(time.Now().UnixNano())
+	return announcer.New(self, seeds, m,
+		announcer.Interval(time.Duration(settings.Membership.ProbeInterval)),
+		announcer.SuspectTimeout(time.Duration(settings.Membership.SuspectTimeout)))
+}
+
+func newSpreader(f *configurer.Follower, a *announcer.Announcer, m *messenger.Messenger) *spreader.Spreader {
+	return spreader.New(f, a, m)
+}
+
+var errNotJoined = errors.New("lists are not known yet")
+
+var errUnheard = errors.New("others do not hear this instance")
+
+// forceStatus is what an instance says about its lists.
+type forceStatus struct {
+	Index   uint64                 `json:"index"`
+	Version identifier.ListVersion `json:"version"`
+	Age     time.Duration          `json:"age-ns"`
+}
+
+func serve(lifecycle fx.Lifecycle, s *server.Server, a *announcer.Announcer, sp *spreader.Spreader, f *configurer.Follower, m *messenger.Messenger, r *recorder.Recorder) {
+	peers := s.Group(authenticator.KindPeer)
+	a.Routes(peers)
+	sp.Routes(peers)
+	s.AddCheck(func() error {
+		if !sp.Joined() {
+			return errNotJoined
+		}
+		if a.Unheard(time.Now()) {
+			return errUnheard
+		}
+		return nil
+	})
+	r.Publish("lists", func() any {
+		view := f.View()
+		return forceStatus{Index: view.Index, Version: view.Lists.Version, Age: f.Age(time.Now())}
+	})
+	r.Publish("peer-traffic", func() any {
+		sent, received := m.Traffic()
+		return map[string]int64{"sent-bytes": sent, "received-bytes": received}
+	})
+	lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			a.Start()
+			sp.Start()
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			sp.Stop()
+			a.Stop()
+			return nil
+		},
+	})
+}
--- /dev/null
+++ b/cranberryd/operator/operator.go
@@ -0,0 +1,173 @@
+// Package operator serves the operators' interface: the two lists, the voters
+// and the state of the system. Every instance serves it.
+package operator
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"go.uber.org/fx"
+
+	"cranberrystack.dev/cranberryd/loader"
+	"cranberrystack.dev/cranberryd/server"
+	"cranberrystack.dev/cranberrystack/announcer"
+	"cranberrystack.dev/cranberrystack/authenticator"
+	"cranberrystack.dev/cranberrystack/configurer"
+	"cranberrystack.dev/cranberrystack/controller"
+	"cranberrystack.dev/cranberrystack/identifier"
+	"cranberrystack.dev/cranberrystack/replicator"
+	"cranberrystack.dev/cranberrystack/responder"
+)
+
+const (
+	maxListsBytes = 16 << 20
+	applyTimeout  = 15 * time.Second
+)
+
+// Option adds the interface to the process.
+var Option = fx.Invoke(serve)
+
+type applyMessage struct {
+	// RequestID makes a resend return the first result.
+	RequestID string `json:"request-id"`
+	// Expected is the version that the lists replace; 0 for the first.
+	Expected   identifier.ListVersion `json:"expected-version"`
+	Plans      []configurer.Plan      `json:"plans"`
+	Allowances []configurer.Allowance `json:"allowances"`
+}
+
+type listsAnswer struct {
+	Index      uint64                 `json:"index"`
+	Version    identifier.ListVersion `json:"version"`
+	Age        int64                  `json:"age-ms"`
+	Plans      []configurer.Plan      `json:"plans"`
+	Allowances []configurer.Allowance `json:"allowances"`
+}
+
+type statusAnswer struct {
+	Instance identifier.InstanceID   `json:"instance"`
+	Ready    bool                    `json:"ready"`
+	Reason   string                  `json:"reason,omitempty"`
+	Version  identifier.ListVersion  `json:"version"`
+	Index    uint64                  `json:"index"`
+	Members  []announcer.Member      `json:"members"`
+	Control  []replicator.Status     `json:"control"`
+	Owners   []configurer.Ownership  `json:"owners"`
+	Groups   []configurer.ClaimGroup `json:"claim-groups"`
+}
+
+type handler struct {
+	settings  *loader.Settings
+	server    *server.Server
+	follower  *configurer.Follower
+	client    *controller.Client
+	announcer *announcer.Announcer
+}
+
+func serve(s *server.Server, settings *loader.Settings, f *configurer.Follower, client *controller.Client, a *announcer.Announcer) {
+	h := &handler{settings: settings, server: s, follower: f, client: client, announcer: a}
+	operators := s.Group(authenticator.KindOperator)
+	operators.GET("/v1/lists", h.lists)
+	operators.PUT("/v1/lists", h.apply)
+	operators.GET("/v1/status", h.status)
+	operators.POST("/v1/voters", h.changeVoters)
+}
+
+func invalid(c *gin.Context, reason string) {
+	responder.Fail(c, responder.Problem{Status: http.StatusBadRequest, Code: responder.CodeInvalid, Reason: reason})
+}
+
+// lists returns the lists in force here, or with ?fresh=true those of the
+// leader, which can't be stale.
+func (h *handler) lists(c *gin.Context) {
+	view := h.follower.View()
+	age := h.follower.Age(time.Now())
+	if c.Query("fresh") == "true" {
+		ctx, cancel := context.WithTimeout(c.Request.Context(), applyTimeout)
+		defer cancel()
+		fresh, err := h.client.Read(ctx)
+		if err != nil {
+			failControl(c, err)
+			return
+		}
+		view, age = fresh, 0
+	}
+	c.JSON(http.StatusOK, listsAnswer{
+		Index: view.Index, Version: view.Lists.Version, Age: age.Milliseconds(),
+		Plans: view.Lists.Plans, Allowances: view.Lists.Allowances,
+	})
+}
+
+func (h *handler) apply(c *gin.Context) {
+	var message applyMessage
+	if !responder.Decode(c, maxListsBytes, &message) {
+		return
+	}
+	if message.RequestID == "" {
+		invalid(c, "request-id is missing")
+		return
+	}
+	ctx, cancel := context.WithTimeout(c.Request.Context(), applyTimeout)
+	defer cancel()
+	result, err := h.client.Propose(ctx, configurer.Command{
+		Kind: configurer.CommandApply, RequestID: message.RequestID, Expected: message.Expected,
+		Lists: &configurer.Lists{Plans: message.Plans, Allowances: message.Allowances},
+	})
+	if err != nil {
+		failControl(c, err)
+		return
+	}
+	if !result.Accepted {
+		c.Header(responder.HeaderCode, string(responder.CodeConflict))
+		c.JSON(http.StatusConflict, result)
+		return
+	}
+	c.JSON(http.StatusOK, result)
+}
+
+func failControl(c *gin.Context, err error) {
+	problem := responder.Problem{Status: http.StatusServiceUnavailable, Code: responder.CodeUnavailable, Reason: err.Error(), RetryAfter: time.Second}
+	switch {
+	case errors.Is(err, configurer.ErrInvalid):
+		problem = responder.Problem{Status: http.StatusBadRequest, Code: responder.CodeInvalid, Reason: err.Error()}
+	case errors.Is(err, configurer.ErrImpossible):
+		problem = responder.Problem{Status: http.StatusUnprocessableEntity, Code: responder.CodeImpossible, Reason: err.Error()}
+	case errors.Is(err, controller.ErrUnknown):
+		problem.Status, problem.Code = http.StatusGatewayTimeout, responder.CodeOutcomeUnknown
+	case errors.Is(err, controller.ErrRefused):
+		problem = responder.Problem{Status: http.StatusConflict, Code: responder.CodeConflict, Reason: err.Error()}
+	}
+	responder.Fail(c, problem)
+}
+
+func (h *handler) status(c *gin.Context) {
+	view := h.follower.View()
+	answer := statusAnswer{
+		Instance: h.settings.Instance, Ready: true,
+		Version: view.Lists.Version, Index: view.Index,
+		Members: append([]announcer.Member{h.announcer.Self()}, h.announcer.Members()...),
+		Control: h.client.Statuses(c.Request.Context()),
+		Owners:  view.Owners, Groups: view.Groups,
+	}
+	if err := h.server.Ready(); err != nil {
+		answer.Ready, answer.Reason = false, err.Error()
+	}
+	c.JSON(http.StatusOK, answer)
+}
+
+func (h *handler) changeVoters(c *gin.Context) {
+	var change replicator.Change
+	if !responder.Decode(c, maxListsBytes, &change) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(c.Request.Context(), applyTimeout)
+	defer cancel()
+	if err := h.client.Change(ctx, change); err != nil {
+		failControl(c, err)
+		return
+	}
+	c.JSON(http.StatusOK, gin.H{})
+}
--- /dev/null
+++ b/cranberryd/placement/placement.go
@@ -0,0 +1,66 @@
+// Package placement is the plug-in for instances that can own the placement of
+// their data centre.
+package placement
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"time"
+
+	"go.uber.org/fx"
+
+	"cranberrystack.dev/cranberryd/control"
+	"cranberrystack.dev/cranberryd/loader"
+	"cranberrystack.dev/cranberryd/server"
+	"cranberrystack.dev/cranberrystack/announcer"
+	"cranberrystack.dev/cranberrystack/authenticator"
+	"cranberrystack.dev/cranberrystack/configurer"
+	"cranberrystack.dev/cranberrystack/controller"
+	"cranberrystack.dev/cranberrystack/kernel"
+	"cranberrystack.dev/cranberrystack/messenger"
+	"cranberrystack.dev/cranberrystack/overseer"
+	"cranberrystack.dev/cranberrystack/placer"
+	"cranberrystack.dev/cranberrystack/recorder"
+)
+
+const jobFolder = "placement"
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name: overseer.Role, Summary: "places the jobs of a data centre",
+		Option: fx.Invoke(run),
+	})
+}
+
+func run(lifecycle fx.Lifecycle, settings *loader.Settings, s *server.Server, a *announcer.Announcer, m *messenger.Messenger, client *controller.Client, f *configurer.Follower, r *recorder.Recorder, failed control.Failed) error {
+	parts := overseer.Parts{
+		Self: a.Self(), Announcer: a, Messenger: m, Control: client, Follower: f, Recorder: r,
+		DataCenter: settings.DataCenter, DataCenters: len(settings.DataCenters), Failed: failed,
+	}
+	if settings.DataFolder != "" {
+		parts.Dir = filepath.Join(settings.DataFolder, jobFolder)
+	}
+	jobs := settings.Jobs
+	o, err := overseer.New(parts, overseer.Engine(
+		placer.Lease(time.Duration(jobs.Lease), time.Duration(jobs.LeaseMargin)),
+		placer.Grace(time.Duration(jobs.Grace)),
+		placer.Silence(time.Duration(jobs.Silence)),
+		placer.ReserveAfter(time.Duration(jobs.ReserveAfter))))
+	if err != nil {
+		return fmt.Errorf("open the jobs: %w", err)
+	}
+	o.Routes(s.Group(authenticator.KindPeer))
+	r.Publish("placement", func() any { return o.Status() })
+	lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			o.Start()
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			o.Stop()
+			return nil
+		},
+	})
+	return nil
+}
--- /dev/null
+++ b/cranberryd/server/server.go
@@ -0,0 +1,144 @@
+// Package server serves all HTTP interfaces of a process on one address and
+// admits only those who present the right kind of token.
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"go.uber.org/fx"
+
+	"cranberrystack.dev/cranberryd/loader"
+	"cranberrystack.dev/cranberrystack/authenticator"
+	"cranberrystack.dev/cranberrystack/recorder"
+	"cranberrystack.dev/cranberrystack/responder"
+)
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+)
+
+// Listen opens a listener; it is a seam for tests.
+type Listen func(address string) (net.Listener, error)
+
+// Check says whether a part of the process is ready, and why not.
+type Check func() error
+
+// Server is the HTTP server of a process.
+type Server struct {
+	engine        *gin.Engine
+	authenticator *authenticator.Authenticator
+	http          *http.Server
+	checks        []Check
+	stopping      atomic.Bool
+}
+
+// New returns a server that listens once the process starts.
+func New(lifecycle fx.Lifecycle, settings *loader.Settings, a *authenticator.Authenticator, r *recorder.Recorder, listen Listen, logger log.Logger) *Server {
+	gin.SetMode(gin.ReleaseMode)
+	engine := gin.New()
+	engine.Use(gin.Recovery())
+	engine.HandleMethodNotAllowed = true
+	s := &Server{engine: engine, authenticator: a}
+	s.http = &http.Server{Handler: engine, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	engine.NoRoute(func(c *gin.Context) {
+		responder.Fail(c, responder.Problem{Status: http.StatusNotFound, Code: responder.CodeNotFound, Reason: "no such path"})
+	})
+	engine.GET("/healthz", func(c *gin.Context) { c.Status(http.StatusOK) })
+	engine.GET("/readyz", s.handleReady)
+	engine.GET("/debug/vars", func(c *gin.Context) {
+		c.Data(http.StatusOK, "application/json; charset=utf-8", []byte(r.Vars().String()))
+	})
+	lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error { return s.start(settings.Address, listen, logger) },
+		OnStop:  s.stop,
+	})
+	return s
+}
+
+func (s *Server) start(address string, listen Listen, logger log.Logger) error {
+	listener, err := listen(address)
+	if err != nil {
+		return fmt.Errorf("key %q: %w", "address", err)
+	}
+	go func() {
+		if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			_ = level.Error(logger).Log("event", "server-failed", "error", err)
+		}
+	}()
+	return nil
+}
+
+func (s *Server) stop(ctx context.Context) error {
+	if err := s.http.Shutdown(ctx); err != nil {
+		return fmt.Errorf("shut the server down: %w", err)
+	}
+	return nil
+}
+
+// SetStopping makes the process unready.
+func (s *Server) SetStopping() { s.stopping.Store(true) }
+
+// AddCheck makes readiness depend on a part. It must be called before the
+// process starts.
+func (s *Server) AddCheck(check Check) {
+	s.checks = append(s.checks, check)
+}
+
+// Ready returns why the process is not ready, or nil.
+func (s *Server) Ready() error {
+	if s.stopping.Load() {
+		return errStopping
+	}
+	for _, check := range s.checks {
+		if err := check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+var errStopping = errors.New("shutting down")
+
+func (s *Server) handleReady(c *gin.Context) {
+	if err := s.Ready(); err != nil {
+		responder.Fail(c, responder.Problem{Status: http.StatusServiceUnavailable, Code: responder.CodeUnavailable, Reason: err.Error()})
+		return
+	}
+	c.Status(http.StatusOK)
+}
+
+const identityKey = "identity"
+
+// Group returns a router for parties of the given kinds.
+func (s *Server) Group(kinds ...authenticator.Kind) *gin.RouterGroup {
+	return s.engine.Group("", func(c *gin.Context) {
+		identity, err := s.authenticator.Check(c.Request, kinds...)
+		switch {
+		case errors.Is(err, authenticator.ErrUnknownToken):
+			responder.Fail(c, responder.Problem{Status: http.StatusUnauthorized, Code: responder.CodeUnauthorized, Reason: err.Error()})
+		case err != nil:
+			responder.Fail(c, responder.Problem{Status: http.StatusForbidden, Code: responder.CodeForbidden, Reason: err.Error()})
+		default:
+			c.Set(identityKey, identity)
+		}
+	})
+}
+
+// Identity returns who sent a request to a router from Group.
+func Identity(c *gin.Context) authenticator.Identity {
+	identity, _ := c.MustGet(identityKey).(authenticator.Identity)
+	return identity
+}
+
+// Handler returns the handler of all interfaces, for use without a listener.
+func (s *Server) Handler() http.Handler { return s.engine }
--- /dev/null
+++ b/dispatcher/dispatcher.go
@@ -0,0 +1,398 @@
+// Package dispatcher takes a caller's request from admission to the whole
+// answer or a true refusal. It puts the limiter, the connectors, the retry
+// budget and the claims together.
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+
+	"cranberrystack.dev/cranberrystack/claimer"
+	"cranberrystack.dev/cranberrystack/configurer"
+	"cranberrystack.dev/cranberrystack/connector"
+	"cranberrystack.dev/cranberrystack/identifier"
+	"cranberrystack.dev/cranberrystack/limiter"
+	"cranberrystack.dev/cranberrystack/recorder"
+	"cranberrystack.dev/cranberrystack/registrar"
+	"cranberrystack.dev/cranberrystack/retrier"
+	"cranberrystack.dev/cranberrystack/router"
+)
+
+// ErrNoSuchPlan reports a plan that is not in force or not the caller's.
+var ErrNoSuchPlan = eris.New("no such plan")
+
+// ErrInProgress reports a key whose request is still being run.
+var ErrInProgress = eris.New("request with this key is in progress")
+
+// ErrStopping reports an instance that takes no new requests.
+var ErrStopping = eris.New("instance is shutting down")
+
+// Request is one request of a caller.
+type Request struct {
+	Member        identifier.MemberID
+	Plan          identifier.PlanID
+	Team          identifier.TeamID
+	Kind          string
+	Class         limiter.Class
+	Deadline      time.Time
+	NonIdempotent bool
+	// Key is empty for a request that is never sent twice.
+	Key         identifier.RequestKey
+	ContentType string
+	Body        []byte
+}
+
+// Refusal is a request without an answer. Its cause says whether the request
+// is known not to have run.
+type Refusal struct {
+	// NotRun is true only if the request has not run and will not.
+	NotRun bool
+	Cause  error
+	// RetryAfter tells the caller when to come back; 0 leaves it open.
+	RetryAfter time.Duration
+}
+
+// Error returns the cause.
+func (r *Refusal) Error() string {
+	if r.NotRun {
+		return "not run: " + r.Cause.Error()
+	}
+	return "outcome unknown: " + r.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (r *Refusal) Unwrap() error { return r.Cause }
+
+// Dispatcher serves the requests of one entry instance. It is safe for
+// concurrent use.
+type Dispatcher struct {
+	self      identifier.InstanceID
+	registrar *registrar.Registrar
+	claims    *claimer.Claimer
+	recorder  *recorder.Recorder
+	learner   *limiter.Learner
+	budget    *retrier.Budget
+	dial      connector.Dial
+	options   options
+	// view returns the lists in force.
+	view func() configurer.View
+
+	// mu guards the fields below. It is never held during I/O.
+	mu         sync.Mutex
+	limits     *limiter.Core
+	connectors map[identifier.UpstreamID]*upstreamConn
+	stopping   bool
+	inFlight   sync.WaitGroup
+
+	stop chan struct{}
+	done sync.WaitGroup
+}
+
+type upstreamConn struct {
+	target    connector.Target
+	connector *connector.Connector
+}
+
+// Parts are what a dispatcher is put together from.
+type Parts struct {
+	Self      identifier.InstanceID
+	Registrar *registrar.Registrar
+	Claims    *claimer.Claimer
+	Recorder  *recorder.Recorder
+	Dial      connector.Dial
+	View      func() configurer.View
+	// Entries returns the ids of the entry instances alive in the data centre.
+	Entries func() []identifier.InstanceID
+}
+
+// New returns a dispatcher that has no slots yet.
+func New(parts Parts, opts ...Option) *Dispatcher {
+	o := newOptions(opts...)
+	o.entries = parts.Entries
+	return &Dispatcher{
+		self: parts.Self, registrar: parts.Registrar, claims: parts.Claims,
+		recorder: parts.Recorder, dial: parts.Dial, view: parts.View, options: o,
+		learner: limiter.NewLearner(), budget: retrier.New(),
+		limits:     limiter.NewCore(o.limits...),
+		connectors: map[identifier.UpstreamID]*upstreamConn{},
+		stop:       make(chan struct{}),
+	}
+}
+
+// Start begins to follow upstreams and lists.
+func (d *Dispatcher) Start() {
+	d.Refresh(time.Now())
+	d.done.Go(d.watch)
+}
+
+func (d *Dispatcher) watch() {
+	ticker := time.NewTicker(d.options.tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-d.stop:
+			return
+		case now := <-ticker.C:
+			d.Refresh(now)
+		}
+	}
+}
+
+// Refresh takes changes of upstreams, entries and lists into account.
+func (d *Dispatcher) Refresh(now time.Time) {
+	upstreams, _ := d.registrar.Ready(now)
+	view := d.view()
+	shares := map[identifier.PlanID]float64{}
+	for _, allowance := range view.Lists.Allowances {
+		shares[allowance.Plan] += allowance.RequestShare
+	}
+	entries := d.options.entries()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	usable := upstreams[:0:0]
+	for _, upstream := range upstreams {
+		if d.connectorFor(upstream).Available(now) {
+			usable = append(usable, upstream)
+		}
+	}
+	d.dropConnectors()
+	d.limits.SetShares(shares)
+	d.limits.SetSlots(router.Own(d.self, entries, usable), now)
+	d.limits.Tick(now)
+}
+
+// connectorFor returns the upstream's connector, a new one if it has restarted.
+// The caller holds mu.
+func (d *Dispatcher) connectorFor(upstream registrar.Upstream) *connector.Connector {
+	target := connector.Target{Address: upstream.Address, Incarnation: upstream.Incarnation}
+	known, found := d.connectors[upstream.ID]
+	if found && known.target == target {
+		return known.connector
+	}
+	if found {
+		known.connector.Close()
+	}
+	fresh := connector.New(target, d.dial, d.options.connectors...)
+	d.connectors[upstream.ID] = &upstreamConn{target: target, connector: fresh}
+	return fresh
+}
+
+// dropConnectors forgets upstreams that are gone. The caller holds mu.
+func (d *Dispatcher) dropConnectors() {
+	for id, known := range d.connectors {
+		if _, announced := d.registrar.Get(id); !announced {
+			known.connector.Close()
+			delete(d.connectors, id)
+		}
+	}
+}
+
+// Drain refuses new requests and returns when all in progress have ended.
+func (d *Dispatcher) Drain() {
+	d.mu.Lock()
+	d.stopping = true
+	d.mu.Unlock()
+	d.inFlight.Wait()
+}
+
+// Stop ends the following of upstreams. Call Drain first.
+func (d *Dispatcher) Stop() {
+	close(d.stop)
+	d.done.Wait()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, known := range d.connectors {
+		known.connector.Close()
+	}
+}
+
+// Load returns the present use of slots.
+func (d *Dispatcher) Load() limiter.Load {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.limits.Load()
+}
+
+// Submit runs a request and returns its whole answer, or a *Refusal. The
+// context ends when the caller has gone; an idempotent request is then given
+// up, any other goes on so that its answer can be kept.
+func (d *Dispatcher) Submit(ctx context.Context, request Request) (connector.Answer, error) {
+	if !d.enter() {
+		return connector.Answer{}, &Refusal{NotRun: true, Cause: ErrStopping, RetryAfter: d.options.stoppingWait}
+	}
+	defer d.inFlight.Done()
+	started := time.Now()
+	answer, err := d.submit(ctx, request)
+	d.record(request, err, time.Since(started))
+	return answer, err
+}
+
+func (d *Dispatcher) enter() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stopping {
+		return false
+	}
+	d.inFlight.Add(1)
+	return true
+}
+
+func (d *Dispatcher) record(request Request, err error, took time.Duration) {
+	outcome := "answered"
+	var refusal *Refusal
+	switch {
+	case errors.As(err, &refusal) && refusal.NotRun:
+		outcome = "not-run"
+	case err != nil:
+		outcome = "outcome-unknown"
+	}
+	d.recorder.Add("requests."+outcome, 1)
+	if err == nil {
+		series := recorder.Series{Name: "request", Member: request.Member, Class: string(request.Class)}
+		_ = d.recorder.Observe(series, took)
+	}
+}
+
+func (d *Dispatcher) submit(ctx context.Context, request Request) (connector.Answer, error) {
+	plan, known := d.findPlan(request)
+	if !known {
+		return connector.Answer{}, &Refusal{NotRun: true, Cause: ErrNoSuchPlan}
+	}
+	d.budget.Request(request.Plan, time.Now())
+	if request.NonIdempotent && request.Key != "" {
+		return d.submitKeyed(ctx, request, plan)
+	}
+	return d.runIdempotent(ctx, request, plan)
+}
+
+func (d *Dispatcher) findPlan(request Request) (weights, bool) {
+	view := d.view()
+	plan, known := view.Plan(request.Plan)
+	if !known || plan.Member != request.Member {
+		return nil, false
+	}
+	if !hasTeam(plan, request.Team) {
+		return nil, false
+	}
+	result := weights{}
+	for _, allowance := range view.Lists.Allowances {
+		if allowance.Plan != request.Plan {
+			continue
+		}
+		for _, kind := range allowance.Kinds {
+			result[kind.Kind] = kind.Weight
+		}
+	}
+	return result, true
+}
+
+func hasTeam(plan configurer.Plan, team identifier.TeamID) bool {
+	for _, known := range plan.Teams {
+		if known.ID == team {
+			return true
+		}
+	}
+	return team == "" && len(plan.Teams) == 0
+}
+
+// weights says what an answer of each kind is worth; a kind not listed is
+// worth 1.
+type weights map[string]float64
+
+func (w weights) of(kind string) float64 {
+	if weight, listed := w[kind]; listed {
+		return weight
+	}
+	return 1
+}
+
+// place is a granted slot.
+type place struct {
+	ticket    *limiter.Ticket
+	upstream  identifier.UpstreamID
+	target    connector.Target
+	connector *connector.Connector
+}
+
+// admit waits for a slot. It returns a *Refusal that is truly not run.
+func (d *Dispatcher) admit(ctx context.Context, request Request, plan weights, avoid identifier.UpstreamID) (place, error) {
+	ticket := limiter.NewTicket()
+	ticket.Member, ticket.Plan, ticket.Team = request.Member, request.Plan, request.Team
+	ticket.Kind, ticket.Deadline, ticket.Avoid = request.Kind, request.Deadline, avoid
+	ticket.Weight = plan.of(request.Kind)
+	ticket.Class, ticket.Expected = d.learner.Judge(request.Member, request.Kind, request.Class)
+	d.mu.Lock()
+	d.limits.Offer(ticket, time.Now())
+	d.mu.Unlock()
+	select {
+	case outcome := <-ticket.Outcome:
+		return d.placed(ticket, outcome)
+	case <-ctx.Done():
+	}
+	d.mu.Lock()
+	withdrawn := d.limits.Withdraw(ticket)
+	d.mu.Unlock()
+	if !withdrawn {
+		d.release(ticket)
+	}
+	return place{}, &Refusal{NotRun: true, Cause: fmt.Errorf("caller has gone: %w", ctx.Err())}
+}
+
+func (d *Dispatcher) placed(ticket *limiter.Ticket, outcome limiter.Outcome) (place, error) {
+	if outcome.Err != nil {
+		return place{}, &Refusal{NotRun: true, Cause: outcome.Err, RetryAfter: outcome.RetryAfter}
+	}
+	d.mu.Lock()
+	known, found := d.connectors[outcome.Slot.Upstream]
+	d.mu.Unlock()
+	if !found {
+		d.release(ticket)
+		return place{}, &Refusal{NotRun: true, Cause: limiter.ErrNoUpstream, RetryAfter: d.options.stoppingWait}
+	}
+	return place{ticket: ticket, upstream: outcome.Slot.Upstream, target: known.target, connector: known.connector}, nil
+}
+
+func (d *Dispatcher) release(ticket *limiter.Ticket) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.limits.Release(ticket, time.Now())
+}
+
+func newAttempt(request Request) connector.Attempt {
+	return connector.Attempt{
+		ID: identifier.AttemptID(uuid.NewString()), Member: request.Member, Team: request.Team,
+		Kind: request.Kind, Deadline: request.Deadline, ContentType: request.ContentType,
+		Body: request.Body, NonIdempotent: request.NonIdempotent,
+	}
+}
+
+// run sends one attempt and measures it. The slot stays with the caller.
+func (d *Dispatcher) run(ctx context.Context, at place, request Request, attempt connector.Attempt) (connector.Answer, error) {
+	started := time.Now()
+	answer, err := at.connector.Run(ctx, attempt)
+	if err == nil {
+		d.learner.Observe(request.Member, request.Kind, time.Since(started))
+	}
+	return answer, err
+}
+
+// mayRetry takes a retry from the budget if there is time for one.
+func (d *Dispatcher) mayRetry(request Request) bool {
+	now := time.Now()
+	return now.Before(request.Deadline) && d.budget.Retry(request.Plan, now)
+}
+
+// digest tells requests apart that use the same key.
+func digest(request Request) uint64 {
+	hash := xxhash.New()
+	_, _ = hash.WriteString(string(request.Plan) + "\x00" + string(request.Team) + "\x00" + request.Kind + "\x00")
+	_, _ = hash.Write(request.Body)
+	return hash.Sum64()
+}
--- /dev/null
+++ b/faker/upstream.go
@@ -0,0 +1,298 @@
+package faker
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"cranberrystack.dev/cranberrystack/connector"
+	"cranberrystack.dev/cranberrystack/identifier"
+)
+
+const (
+	announceInterval  = time.Second
+	firstProgress     = 200 * time.Millisecond
+	progressInterval  = time.Second
+	attemptsRemember  = 10 * time.Minute
+	maxRequestBytes   = 8 << 20
+	announceUpstreams = "/v1/upstreams/announce"
+)
+
+type upstreamAnnouncement struct {
+	ID          identifier.UpstreamID  `json:"id"`
+	Address     string                 `json:"address"`
+	Slots       int                    `json:"slots"`
+	State       string                 `json:"state"`
+	Incarnation identifier.Incarnation `json:"incarnation"`
+	Sequence    uint64                 `json:"sequence"`
+}
+
+// Work is one request as an upstream sees it.
+type Work struct {
+	Attempt identifier.AttemptID
+	Member  identifier.MemberID
+	Kind    string
+	Body    string
+}
+
+// Upstream is a stand-in back end. It speaks what docs/API.md asks of one.
+type Upstream struct {
+	ID    identifier.UpstreamID
+	Slots int
+	// Run does the work and returns the answer's body. The default answers at
+	// once.
+	Run func(ctx context.Context, work Work) string
+	// Tamper changes an answer on its way out; it may close the connection.
+	Tamper func(w http.ResponseWriter, work Work, body string) bool
+
+	host        Host
+	incarnation identifier.Incarnation
+	server      *http.Server
+
+	mu       sync.Mutex
+	attempts map[identifier.AttemptID]*attempt
+	running  int
+	leaving  bool
+	sequence uint64
+	// runs counts how often each body was run.
+	runs map[string]int
+
+	stop chan struct{}
+	done sync.WaitGroup
+}
+
+type attempt struct {
+	finished chan struct{}
+	ended    time.Time
+	status   int
+	body     string
+	// fenced attempts never run.
+	fenced bool
+}
+
+// NewUpstream returns an upstream that is not yet started.
+func NewUpstream(id identifier.UpstreamID, slots int, host Host) *Upstream {
+	return &Upstream{
+		ID: id, Slots: slots, host: host, incarnation: newIncarnation(time.Now()),
+		Run:      func(_ context.Context, work Work) string { return "done " + work.Body },
+		attempts: map[identifier.AttemptID]*attempt{}, runs: map[string]int{},
+		stop: make(chan struct{}),
+	}
+}
+
+// Start serves and announces.
+func (u *Upstream) Start() {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /run", u.handleRun)
+	mux.HandleFunc("GET /attempts/{id}", u.handleAttempt)
+	u.server = &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second}
+	u.done.Go(func() { _ = u.server.Serve(u.host.Listener) })
+	u.done.Go(u.announce)
+}
+
+// Leave announces that no new work is wanted.
+func (u *Upstream) Leave() {
+	u.mu.Lock()
+	u.leaving = true
+	u.mu.Unlock()
+	u.announceOnce(newAnnouncing(u.host, announceUpstreams, announceInterval))
+}
+
+// Stop ends the upstream at once.
+func (u *Upstream) Stop() {
+	close(u.stop)
+	_ = u.server.Close()
+	u.done.Wait()
+}
+
+// Address returns where the upstream listens.
+func (u *Upstream) Address() string { return u.host.address() }
+
+// Runs returns how often each request body was run.
+func (u *Upstream) Runs() map[string]int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	copied := map[string]int{}
+	for body, count := range u.runs {
+		copied[body] = count
+	}
+	return copied
+}
+
+func (u *Upstream) announce() {
+	a := newAnnouncing(u.host, announceUpstreams, announceInterval)
+	defer a.messenger.Close()
+	ticker := time.NewTicker(announceInterval)
+	defer ticker.Stop()
+	for {
+		u.announceOnce(a)
+		select {
+		case <-u.stop:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (u *Upstream) announceOnce(a *announcing) {
+	u.mu.Lock()
+	u.sequence++
+	state := "ready"
+	if u.leaving {
+		state = "leaving"
+	}
+	message := upstreamAnnouncement{
+		ID: u.ID, Address: u.Address(), Slots: u.Slots, State: state,
+		Incarnation: u.incarnation, Sequence: u.sequence,
+	}
+	u.mu.Unlock()
+	_ = a.send(message, nil)
+}
+
+func (u *Upstream) handleRun(w http.ResponseWriter, r *http.Request) {
+	id := identifier.AttemptID(r.Header.Get(connector.HeaderAttempt))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	if err != nil {
+		return
+	}
+	work := Work{
+		Attempt: id, Body: string(body), Kind: r.Header.Get(connector.HeaderKind),
+		Member: identifier.MemberID(r.Header.Get(connector.HeaderMember)),
+	}
+	own, reason := u.begin(work, r.Header.Get(connector.HeaderIncarnation))
+	if reason != "" {
+		u.notRun(w, id, reason)
+		return
+	}
+	ctx := r.Context()
+	if r.Header.Get(connector.HeaderNonIdempotent) != "" {
+		ctx = context.WithoutCancel(ctx)
+	}
+	go u.work(ctx, own, work)
+	u.progress(w, own)
+	u.mu.Lock()
+	answer := own.body
+	u.mu.Unlock()
+	if u.Tamper != nil && u.Tamper(w, work, answer) {
+		return
+	}
+	u.reply(w, id, http.StatusOK, answer)
+}
+
+// begin books an attempt, or says why it will not run.
+func (u *Upstream) begin(work Work, incarnation string) (*attempt, string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	switch {
+	case incarnation != strconv.FormatUint(uint64(u.incarnation), 10):
+		return nil, connector.NotRunRestarted
+	case u.attempts[work.Attempt] != nil:
+		return nil, "repeated"
+	case u.leaving:
+		return nil, connector.NotRunLeaving
+	case u.running >= u.Slots:
+		return nil, connector.NotRunBusy
+	}
+	u.forgetOld(time.Now())
+	own := &attempt{finished: make(chan struct{})}
+	u.attempts[work.Attempt] = own
+	u.running++
+	u.runs[work.Body]++
+	return own, ""
+}
+
+func (u *Upstream) forgetOld(now time.Time) {
+	const often = 4096
+	if len(u.attempts)%often != often-1 {
+		return
+	}
+	for id, old := range u.attempts {
+		if !old.ended.IsZero() && now.Sub(old.ended) > attemptsRemember {
+			delete(u.attempts, id)
+		}
+	}
+}
+
+func (u *Upstream) work(ctx context.Context, own *attempt, work Work) {
+	body := u.Run(ctx, work)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	own.status, own.body, own.ended = http.StatusOK, body, time.Now()
+	u.running--
+	close(own.finished)
+}
+
+// progress tells the caller that the attempt runs until it has finished.
+func (u *Upstream) progress(w http.ResponseWriter, own *attempt) {
+	timer := time.NewTimer(firstProgress)
+	defer timer.Stop()
+	for {
+		select {
+		case <-own.finished:
+			return
+		case <-timer.C:
+			w.WriteHeader(http.StatusProcessing)
+			timer.Reset(progressInterval)
+		}
+	}
+}
+
+func (u *Upstream) header(w http.ResponseWriter, id identifier.AttemptID) {
+	w.Header().Set(connector.HeaderAttempt, string(id))
+	w.Header().Set(connector.HeaderIncarnation, strconv.FormatUint(uint64(u.incarnation), 10))
+}
+
+func (u *Upstream) reply(w http.ResponseWriter, id identifier.AttemptID, status int, body string) {
+	u.header(w, id)
+	w.Header().Set("Content-Type", "text/plain")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, _ = io.Copy(w, strings.NewReader(body))
+}
+
+func (u *Upstream) notRun(w http.ResponseWriter, id identifier.AttemptID, reason string) {
+	w.Header().Set(connector.HeaderNotRun, reason)
+	u.reply(w, id, http.StatusServiceUnavailable, fmt.Sprintf("not run: %s", reason))
+}
+
+// handleAttempt says what became of an attempt. An unknown one is fenced.
+func (u *Upstream) handleAttempt(w http.ResponseWriter, r *http.Request) {
+	id := identifier.AttemptID(r.PathValue("id"))
+	u.mu.Lock()
+	own, known := u.attempts[id]
+	if !known {
+		own = &attempt{fenced: true, ended: time.Now()}
+		u.attempts[id] = own
+	}
+	running := !own.fenced && own.ended.IsZero()
+	status, body := own.status, own.body
+	u.mu.Unlock()
+	switch {
+	case own.fenced:
+		w.Header().Set(connector.HeaderNotRun, connector.NotRunUnknown)
+		u.reply(w, id, http.StatusNotFound, "")
+	case running:
+		u.reply(w, id, http.StatusAccepted, "")
+	default:
+		w.Header().Set(connector.HeaderStatus, strconv.Itoa(status))
+		u.reply(w, id, http.StatusOK, body)
+	}
+}
+
+// Sleep waits for a time or until the context ends; it suits Run functions.
+func Sleep(ctx context.Context, wait time.Duration) error {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return errors.Join(ctx.Err())
+	}
+}
--- /dev/null
+++ b/leaser/leaser.go
@@ -0,0 +1,182 @@
+// Package leaser is the worker's side of leases: it says which owner's word
+// counts, and which tasks have to stop because their lease has run out by the
+// worker's own clock. Workers embed it or follow its rules.
+package leaser
+
+import (
+	"sort"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"cranberrystack.dev/cranberrystack/identifier"
+)
+
+// ErrOldEpoch reports a command from an owner that has been replaced.
+var ErrOldEpoch = eris.New("command is from an earlier owner")
+
+// ErrNoRoom reports a lease for more accelerators than are free.
+var ErrNoRoom = eris.New("too few accelerators are free")
+
+// ErrNoLease reports a start without a lease.
+var ErrNoLease = eris.New("no such lease")
+
+// State is how far a lease has come.
+type State string
+
+// The states. A lease holds its accelerators up to and including StateRunning.
+const (
+	StateLeased   State = "leased"
+	StateRunning  State = "running"
+	StateFinished State = "finished"
+	StateFailed   State = "failed"
+	StateStopped  State = "stopped"
+)
+
+// Holds reports whether accelerators are held in a state.
+func (s State) Holds() bool {
+	return s == StateLeased || s == StateRunning
+}
+
+// ID names a lease. One attempt of a job has at most one lease on a worker.
+type ID struct {
+	Job     identifier.JobID `json:"job"`
+	Attempt uint64           `json:"attempt"`
+}
+
+// Lease is the right to run some parts of one job.
+type Lease struct {
+	ID           ID    `json:"id"`
+	Accelerators int   `json:"accelerators"`
+	State        State `json:"state"`
+	// Progress is the work that a checkpoint holds.
+	Progress time.Duration `json:"progress-ns"`
+	// Reason says why a task failed.
+	Reason string `json:"reason,omitempty"`
+	// until is when the task has to stop unless the lease is renewed.
+	until time.Time
+	// closed is when the lease stopped holding accelerators.
+	closed time.Time
+}
+
+// Table holds the leases of one worker. It is not safe for concurrent use.
+type Table struct {
+	total  int
+	epoch  identifier.Epoch
+	leases map[ID]*Lease
+}
+
+// closedKeep is how long an ended lease is reported.
+const closedKeep = 2 * time.Minute
+
+// NewTable returns the table of a worker with so many accelerators.
+func NewTable(total int) *Table {
+	return &Table{total: total, leases: map[ID]*Lease{}}
+}
+
+// Admit accepts an owner's epoch, or returns ErrOldEpoch.
+func (t *Table) Admit(epoch identifier.Epoch) error {
+	if epoch < t.epoch {
+		return ErrOldEpoch
+	}
+	t.epoch = epoch
+	return nil
+}
+
+// Epoch returns the highest epoch seen.
+func (t *Table) Epoch() identifier.Epoch { return t.epoch }
+
+// Free returns the accelerators that no lease holds.
+func (t *Table) Free() int {
+	free := t.total
+	for _, lease := range t.leases {
+		if lease.State.Holds() {
+			free -= lease.Accelerators
+		}
+	}
+	return free
+}
+
+// Grant adds a lease. A repeated grant changes nothing.
+func (t *Table) Grant(id ID, accelerators int, until time.Time) error {
+	if _, known := t.leases[id]; known {
+		return nil
+	}
+	if accelerators > t.Free() {
+		return ErrNoRoom
+	}
+	t.leases[id] = &Lease{ID: id, Accelerators: accelerators, State: StateLeased, until: until}
+	return nil
+}
+
+// Start marks a lease as running and reports whether it was not before.
+func (t *Table) Start(id ID) (bool, error) {
+	lease, known := t.leases[id]
+	if !known || !lease.State.Holds() {
+		return false, ErrNoLease
+	}
+	first := lease.State == StateLeased
+	lease.State = StateRunning
+	return first, nil
+}
+
+// Progress notes what a checkpoint holds.
+func (t *Table) Progress(id ID, progress time.Duration) {
+	if lease, known := t.leases[id]; known {
+		lease.Progress = max(lease.Progress, progress)
+	}
+}
+
+// Close ends a lease that still holds accelerators. An unknown lease is noted
+// as ended, so that a grant that arrives late changes nothing.
+func (t *Table) Close(id ID, state State, reason string, now time.Time) {
+	lease, known := t.leases[id]
+	if !known {
+		t.leases[id] = &Lease{ID: id, State: state, Reason: reason, closed: now}
+		return
+	}
+	if lease.State.Holds() {
+		lease.State, lease.Reason, lease.closed = state, reason, now
+	}
+}
+
+// Renew extends every lease that holds accelerators.
+func (t *Table) Renew(until time.Time) {
+	for _, lease := range t.leases {
+		if lease.State.Holds() && until.After(lease.until) {
+			lease.until = until
+		}
+	}
+}
+
+// Expired returns the leases that have run out by the worker's clock. Their
+// tasks have to be stopped and the leases closed.
+func (t *Table) Expired(now time.Time) []ID {
+	var expired []ID
+	for id, lease := range t.leases {
+		if lease.State.Holds() && !now.Before(lease.until) {
+			expired = append(expired, id)
+		}
+	}
+	return expired
+}
+
+// All returns the leases in a stable order and forgets those that ended long
+// ago.
+func (t *Table) All(now time.Time) []Lease {
+	all := make([]Lease, 0, len(t.leases))
+	for id, lease := range t.leases {
+		if !lease.State.Holds() && now.Sub(lease.closed) >= closedKeep {
+			delete(t.leases, id)
+			continue
+		}
+		all = append(all, *lease)
+	}
+	sort.Slice(all, func(i, j int) bool {
+		if all[i].ID.Job != all[j].ID.Job {
+			return all[i].ID.Job < all[j].ID.Job
+		}
+		return all[i].ID.Attempt < all[j].ID.Attempt
+	})
+	return all
+}
--- /dev/null
+++ b/limiter/grant.go
@@ -0,0 +1,164 @@
+package limiter
+
+import (
+	"time"
+
+	"cranberrystack.dev/cranberrystack/router"
+)
+
+// grant hands out free slots until no waiting ticket may take one.
+func (c *Core) grant(now time.Time) {
+	for c.waiting > 0 && len(c.free)+len(c.freeShort) > 0 {
+		ticket := c.choose()
+		if ticket == nil {
+			return
+		}
+		c.unqueue(ticket)
+		c.start(ticket, c.takeSlot(ticket), now)
+	}
+}
+
+// choose returns the ticket to go next, or nil if none may. Plans below their
+// guaranteed share come first, the emptiest of them foremost; then all others
+// by what they use beyond it.
+func (c *Core) choose() *Ticket {
+	var best *Ticket
+	bestNeed := 0.0
+	for i := range c.order {
+		plan := c.plans[c.order[(c.next+i)%len(c.order)]]
+		if plan.waiting == 0 {
+			continue
+		}
+		ticket := c.chooseInPlan(plan)
+		if ticket == nil {
+			continue
+		}
+		need := c.need(plan)
+		if best == nil || need < bestNeed {
+			best, bestNeed = ticket, need
+		}
+	}
+	c.next++
+	return best
+}
+
+// need orders plans: lower goes first. It is below 1 for a plan within its
+// share.
+func (c *Core) need(plan *planState) float64 {
+	own := plan.share * float64(c.total)
+	if float64(plan.running) < own {
+		return float64(plan.running) / own
+	}
+	return 1 + float64(plan.running) - own
+}
+
+// chooseInPlan takes the team that holds the fewest slots, and of its queues
+// the one whose first ticket is worth most for the time it takes.
+func (c *Core) chooseInPlan(plan *planState) *Ticket {
+	var best *Ticket
+	bestRunning := 0
+	for _, id := range plan.order {
+		team := plan.teams[id]
+		if best != nil && team.running >= bestRunning {
+			continue
+		}
+		if ticket := c.chooseInTeam(plan, team); ticket != nil {
+			best, bestRunning = ticket, team.running
+		}
+	}
+	return best
+}
+
+func (c *Core) chooseInTeam(plan *planState, team *teamState) *Ticket {
+	var best *Ticket
+	for _, q := range team.queues {
+		if len(q.tickets) == 0 || !c.fits(plan, q.tickets[0]) {
+			continue
+		}
+		if best == nil || q.tickets[0].density() > best.density() {
+			best = q.tickets[0]
+		}
+	}
+	return best
+}
+
+// fits reports whether a ticket may start now. Long work takes no short-only
+// slot, and beyond its own plan's share it takes no slot that another plan's
+// unused share may need, since it would not come back soon.
+func (c *Core) fits(plan *planState, ticket *Ticket) bool {
+	if ticket.Class == ClassShort {
+		return c.findSlot(c.freeShort, ticket) >= 0 || c.findSlot(c.free, ticket) >= 0
+	}
+	if c.findSlot(c.free, ticket) < 0 || c.long >= c.general {
+		return false
+	}
+	if float64(plan.running) < plan.share*float64(c.total) {
+		return true
+	}
+	return c.total-c.running-c.unusedShares(plan) >= 1
+}
+
+// unusedShares counts the slots that other plans could still claim.
+func (c *Core) unusedShares(except *planState) int {
+	unused := 0.0
+	for _, plan := range c.plans {
+		if plan != except {
+			unused += max(plan.share*float64(c.total)-float64(plan.running), 0)
+		}
+	}
+	return int(unused)
+}
+
+// findSlot returns the place of a free slot that the ticket may use, or -1.
+func (c *Core) findSlot(free []*slotState, ticket *Ticket) int {
+	fallback := -1
+	for i := len(free) - 1; i >= 0; i-- {
+		slot := &free[i].slot
+		if slot.Member != "" && slot.Member != ticket.Member {
+			continue
+		}
+		if slot.Upstream != ticket.Avoid {
+			return i
+		}
+		fallback = i
+	}
+	return fallback
+}
+
+// takeSlot removes a slot from the free ones. Short work leaves general slots
+// to long work while it can.
+func (c *Core) takeSlot(ticket *Ticket) *slotState {
+	if ticket.Class == ClassShort {
+		if i := c.findSlot(c.freeShort, ticket); i >= 0 {
+			return remove(&c.freeShort, i)
+		}
+	}
+	return remove(&c.free, c.findSlot(c.free, ticket))
+}
+
+func remove(free *[]*slotState, i int) *slotState {
+	state := (*free)[i]
+	*free = append((*free)[:i], (*free)[i+1:]...)
+	return state
+}
+
+func (c *Core) start(ticket *Ticket, state *slotState, now time.Time) {
+	plan := c.plan(ticket.Plan)
+	plan.running++
+	plan.team(ticket.Team).running++
+	c.running++
+	if ticket.Class == ClassLong {
+		plan.long++
+		c.long++
+	}
+	state.holder = ticket
+	ticket.slot = state
+	ticket.state = ticketRunning
+	ticket.started = now
+	ticket.Outcome <- Outcome{Slot: state.slot}
+}
+
+// Slot returns the slot that a granted ticket holds.
+func (t *Ticket) Slot() router.Slot {
+	return t.slot.slot
+}
--- /dev/null
+++ b/limiter/options.go
@@ -0,0 +1,50 @@
+package limiter
+
+import "time"
+
+const (
+	// DefaultQueueLength bounds the waiting requests of one plan.
+	DefaultQueueLength = 1024
+	// DefaultTotalQueueLength bounds the waiting requests of all plans.
+	DefaultTotalQueueLength = 4096
+	// DefaultOverdueFactor is the multiple of its expected run time from
+	// which short work counts as long.
+	DefaultOverdueFactor = 8
+	// DefaultOverdueFloor is the least run time from which short work counts
+	// as long.
+	DefaultOverdueFloor = 250 * time.Millisecond
+	// DefaultMinRetryAfter is the least time after which a refused caller is
+	// asked to come back.
+	DefaultMinRetryAfter = 100 * time.Millisecond
+	// DefaultNoUpstreamWait is when to come back if there is no upstream.
+	DefaultNoUpstreamWait = time.Second
+)
+
+type options struct {
+	queueLength      int
+	totalQueueLength int
+	overdueFactor    time.Duration
+	overdueFloor     time.Duration
+	minRetryAfter    time.Duration
+	noUpstreamWait   time.Duration
+}
+
+// Option changes how a core decides.
+type Option func(*options)
+
+func newOptions(opts ...Option) options {
+	o := options{
+		queueLength: DefaultQueueLength, totalQueueLength: DefaultTotalQueueLength,
+		overdueFactor: DefaultOverdueFactor, overdueFloor: DefaultOverdueFloor,
+		minRetryAfter: DefaultMinRetryAfter, noUpstreamWait: DefaultNoUpstreamWait,
+	}
+	for _, apply := range opts {
+		apply(&o)
+	}
+	return o
+}
+
+// QueueLength bounds the waiting requests of one plan.
+func QueueLength(length int) Option {
+	return func(o *options) { o.queueLength = length }
+}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -36,6 +36,17 @@
 	return http.StatusText(e.Status) + ": " + e.Body
 }
 
+// Reason returns the reason that the answer gives, else its whole text.
+func (e *StatusError) Reason() string {
+	var body struct {
+		Reason string `json:"reason"`
+	}
+	if err := json.Unmarshal([]byte(e.Body), &body); err != nil || body.Reason == "" {
+		return e.Body
+	}
+	return body.Reason
+}
+
 // Dial opens a connection; it is a seam for tests.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
--- /dev/null
+++ b/overseer/commander.go
@@ -0,0 +1,86 @@
+package overseer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"cranberrystack.dev/cranberrystack/identifier"
+	"cranberrystack.dev/cranberrystack/messenger"
+	"cranberrystack.dev/cranberrystack/placer"
+)
+
+const (
+	commandPath    = "/commands"
+	commandTimeout = 2 * time.Second
+)
+
+type commandMessage struct {
+	Commands []placer.Command `json:"commands"`
+}
+
+// commander sends commands to workers, one message at a time to each, in the
+// order in which they were decided.
+type commander struct {
+	messenger *messenger.Messenger
+	answered  func(placer.Report)
+	state     *commanderState
+}
+
+type commanderState struct {
+	mu      sync.Mutex
+	pending map[identifier.WorkerID][]placer.Command
+	busy    map[identifier.WorkerID]bool
+	sending sync.WaitGroup
+}
+
+func newCommander(m *messenger.Messenger, answered func(placer.Report)) commander {
+	return commander{messenger: m, answered: answered, state: &commanderState{
+		pending: map[identifier.WorkerID][]placer.Command{}, busy: map[identifier.WorkerID]bool{},
+	}}
+}
+
+func (c commander) send(commands []placer.Command, addresses map[identifier.WorkerID]string) {
+	c.state.mu.Lock()
+	defer c.state.mu.Unlock()
+	for _, command := range commands {
+		worker := command.Worker
+		if addresses[worker] == "" {
+			continue
+		}
+		c.state.pending[worker] = append(c.state.pending[worker], command)
+		if !c.state.busy[worker] {
+			c.state.busy[worker] = true
+			c.state.sending.Go(func() { c.drain(worker, addresses[worker]) })
+		}
+	}
+}
+
+func (c commander) drain(worker identifier.WorkerID, address string) {
+	for {
+		c.state.mu.Lock()
+		commands := c.state.pending[worker]
+		delete(c.state.pending, worker)
+		if len(commands) == 0 {
+			delete(c.state.busy, worker)
+			c.state.mu.Unlock()
+			return
+		}
+		c.state.mu.Unlock()
+		c.deliver(address, commands)
+	}
+}
+
+func (c commander) deliver(address string, commands []placer.Command) {
+	ctx, cancel := context.WithTimeout(context.Background(), commandTimeout)
+	defer cancel()
+	var report placer.Report
+	if err := c.messenger.Post(ctx, address, commandPath, commandMessage{Commands: commands}, &report); err != nil {
+		return
+	}
+	c.answered(report)
+}
+
+func (c commander) wait() {
+	c.state.sending.Wait()
+}
--- /dev/null
+++ b/overseer/routes.go
@@ -0,0 +1,201 @@
+package overseer
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"github.com/gin-gonic/gin"
+
+	"cranberrystack.dev/cranberrystack/announcer"
+	"cranberrystack.dev/cranberrystack/configurer"
+	"cranberrystack.dev/cranberrystack/identifier"
+	"cranberrystack.dev/cranberrystack/messenger"
+	"cranberrystack.dev/cranberrystack/placer"
+	"cranberrystack.dev/cranberrystack/responder"
+)
+
+const (
+	submitPath = "/peer/overseer/submit"
+	cancelPath = "/peer/overseer/cancel"
+	jobPath    = "/peer/overseer/job"
+	reportPath = "/peer/overseer/report"
+)
+
+type jobMessage struct {
+	Member identifier.MemberID `json:"member"`
+	// ID is empty to ask for all jobs of the member.
+	ID identifier.JobID `json:"id,omitempty"`
+}
+
+type jobsAnswer struct {
+	Jobs []placer.Job `json:"jobs"`
+}
+
+// Routes adds the handlers that other instances call.
+func (o *Overseer) Routes(router gin.IRouter) {
+	router.POST(submitPath, o.handleSubmit)
+	router.POST(cancelPath, o.handleCancel)
+	router.POST(jobPath, o.handleJob)
+	router.POST(reportPath, o.handleReport)
+	router.POST(copyPath, o.handleCopy)
+	router.GET(positionPath, o.handlePosition)
+	router.GET(statePath, o.handleState)
+}
+
+// causes maps errors to codes, so that a Client can give them back.
+var causes = []struct {
+	err    error
+	status int
+	code   responder.Code
+}{
+	{placer.ErrImpossible, http.StatusUnprocessableEntity, responder.CodeImpossible},
+	{placer.ErrNoSuchPlan, http.StatusForbidden, responder.CodeNoSuchPlan},
+	{placer.ErrNoSuchJob, http.StatusNotFound, responder.CodeNotFound},
+	{placer.ErrConflict, http.StatusConflict, responder.CodeConflict},
+	{placer.ErrFull, http.StatusTooManyRequests, responder.CodeOverloaded},
+	{ErrNotOwner, http.StatusMisdirectedRequest, responder.CodeUnavailable},
+}
+
+// ProblemOf returns the answer for an error of the placement.
+func ProblemOf(err error) responder.Problem {
+	for _, cause := range causes {
+		if errors.Is(err, cause.err) {
+			return responder.Problem{Status: cause.status, Code: cause.code, Reason: err.Error()}
+		}
+	}
+	return responder.Problem{Status: http.StatusServiceUnavailable, Code: responder.CodeUnavailable, Reason: err.Error()}
+}
+
+func answer(c *gin.Context, value any, err error) {
+	if err != nil {
+		responder.Fail(c, ProblemOf(err))
+		return
+	}
+	c.JSON(http.StatusOK, value)
+}
+
+func (o *Overseer) handleSubmit(c *gin.Context) {
+	var spec placer.Spec
+	if responder.Decode(c, maxMessageBytes, &spec) {
+		err := o.Submit(spec)
+		answer(c, struct{}{}, err)
+	}
+}
+
+func (o *Overseer) handleCancel(c *gin.Context) {
+	var message jobMessage
+	if responder.Decode(c, maxMessageBytes, &message) {
+		err := o.Cancel(message.Member, message.ID)
+		answer(c, struct{}{}, err)
+	}
+}
+
+func (o *Overseer) handleJob(c *gin.Context) {
+	var message jobMessage
+	if !responder.Decode(c, maxMessageBytes, &message) {
+		return
+	}
+	if message.ID == "" {
+		jobs, err := o.Jobs(message.Member)
+		answer(c, jobsAnswer{Jobs: jobs}, err)
+		return
+	}
+	job, err := o.Job(message.Member, message.ID)
+	answer(c, jobsAnswer{Jobs: []placer.Job{job}}, err)
+}
+
+func (o *Overseer) handleReport(c *gin.Context) {
+	var report placer.Report
+	if responder.Decode(c, maxMessageBytes, &report) {
+		renewal, err := o.Report(report)
+		answer(c, renewal, err)
+	}
+}
+
+// Client reaches the owner of a data centre's placement from any instance.
+type Client struct {
+	announcer  *announcer.Announcer
+	messenger  *messenger.Messenger
+	follower   *configurer.Follower
+	dataCenter identifier.DataCenterID
+}
+
+// NewClient returns a client for one data centre.
+func NewClient(a *announcer.Announcer, m *messenger.Messenger, f *configurer.Follower, dataCenter identifier.DataCenterID) *Client {
+	return &Client{announcer: a, messenger: m, follower: f, dataCenter: dataCenter}
+}
+
+// Submit queues a job with the owner.
+func (c *Client) Submit(ctx context.Context, spec placer.Spec) error {
+	return c.call(ctx, submitPath, spec, nil)
+}
+
+// Cancel ends a job.
+func (c *Client) Cancel(ctx context.Context, member identifier.MemberID, id identifier.JobID) error {
+	return c.call(ctx, cancelPath, jobMessage{Member: member, ID: id}, nil)
+}
+
+// Job returns a member's job.
+func (c *Client) Job(ctx context.Context, member identifier.MemberID, id identifier.JobID) (placer.Job, error) {
+	var found jobsAnswer
+	err := c.call(ctx, jobPath, jobMessage{Member: member, ID: id}, &found)
+	if err != nil || len(found.Jobs) == 0 {
+		return placer.Job{}, err
+	}
+	return found.Jobs[0], nil
+}
+
+// Jobs returns a member's jobs.
+func (c *Client) Jobs(ctx context.Context, member identifier.MemberID) ([]placer.Job, error) {
+	var found jobsAnswer
+	err := c.call(ctx, jobPath, jobMessage{Member: member}, &found)
+	return found.Jobs, err
+}
+
+// Report passes a worker's word on to the owner.
+func (c *Client) Report(ctx context.Context, report placer.Report) (Renewal, error) {
+	var renewal Renewal
+	err := c.call(ctx, reportPath, report, &renewal)
+	return renewal, err
+}
+
+func (c *Client) call(ctx context.Context, path string, in, out any) error {
+	view := c.follower.View()
+	owner := view.Owner(c.dataCenter)
+	member, known := c.announcer.Member(owner.Owner)
+	if owner.Epoch == 0 || !known {
+		return ErrNoOwner
+	}
+	err := c.messenger.Post(ctx, member.Address, path, in, out)
+	var status *messenger.StatusError
+	if errors.As(err, &status) {
+		return errorOf(status)
+	}
+	if err != nil {
+		return errors.Join(ErrNoOwner, err)
+	}
+	return nil
+}
+
+// errorOf turns an owner's refusal back into the error that caused it.
+func errorOf(status *messenger.StatusError) error {
+	for _, cause := range causes {
+		if cause.status == status.Status {
+			return &remoteError{cause: cause.err, reason: status.Reason()}
+		}
+	}
+	return errors.Join(ErrNoOwner, status)
+}
+
+// remoteError carries the owner's reason and matches its cause.
+type remoteError struct {
+	cause  error
+	reason string
+}
+
+// Error returns the owner's reason.
+func (e *remoteError) Error() string { return e.reason }
+
+// Unwrap returns the cause.
+func (e *remoteError) Unwrap() error { return e.cause }
--- /dev/null
+++ b/overseer/store.go
@@ -0,0 +1,183 @@
+package overseer
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"sync"
+	"time"
+
+	"cranberrystack.dev/cranberrystack/identifier"
+	"cranberrystack.dev/cranberrystack/journaler"
+	"cranberrystack.dev/cranberrystack/placer"
+)
+
+const (
+	compactBytes = 16 << 20
+	keepEnded    = time.Hour
+)
+
+// position orders copies of the jobs: a higher epoch is newer, then a higher
+// sequence.
+type position struct {
+	Epoch    identifier.Epoch `json:"epoch"`
+	Sequence uint64           `json:"sequence"`
+}
+
+func (p position) before(other position) bool {
+	if p.Epoch != other.Epoch {
+		return p.Epoch < other.Epoch
+	}
+	return p.Sequence < other.Sequence
+}
+
+// update is a change of the jobs. A full one replaces them all.
+type update struct {
+	// After is the position that the update follows, unless it is full.
+	After    position     `json:"after"`
+	Position position     `json:"position"`
+	Full     bool         `json:"full,omitempty"`
+	Jobs     []placer.Job `json:"jobs"`
+}
+
+// store holds one instance's copy of the jobs, on disk if it has a folder.
+type store struct {
+	journal *journaler.Journal
+
+	mu       sync.Mutex
+	position position
+	kept     map[identifier.JobID]placer.Job
+}
+
+func openStore(dir string) (*store, error) {
+	s := &store{kept: map[identifier.JobID]placer.Job{}}
+	if dir == "" {
+		return s, nil
+	}
+	journal, contents, err := journaler.Open(dir)
+	if err != nil {
+		return nil, fmt.Errorf("open jobs: %w", err)
+	}
+	s.journal = journal
+	records := contents.Records
+	if contents.Snapshot != nil {
+		records = append([][]byte{contents.Snapshot}, records...)
+	}
+	for _, record := range records {
+		var u update
+		if err := json.Unmarshal(record, &u); err != nil {
+			return nil, fmt.Errorf("decode jobs: %w", err)
+		}
+		if !s.position.before(u.Position) {
+			continue
+		}
+		s.take(u)
+	}
+	return s, nil
+}
+
+// take changes the copy in memory; the caller holds mu or is alone.
+func (s *store) take(u update) {
+	if u.Full {
+		s.kept = map[identifier.JobID]placer.Job{}
+	}
+	for _, job := range u.Jobs {
+		s.kept[job.Spec.ID] = job
+	}
+	s.position = u.Position
+}
+
+// write keeps an update on disk and in memory.
+func (s *store) write(u update) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.journal != nil {
+		data, err := json.Marshal(u)
+		if err != nil {
+			return fmt.Errorf("encode jobs: %w", err)
+		}
+		if err := s.journal.Append(data); err != nil {
+			return fmt.Errorf("keep jobs: %w", err)
+		}
+	}
+	s.take(u)
+	return s.compact()
+}
+
+func (s *store) compact() error {
+	if s.journal == nil || s.journal.Size() < compactBytes {
+		return nil
+	}
+	s.forget(time.Now())
+	data, err := json.Marshal(s.full())
+	if err != nil {
+		return fmt.Errorf("encode jobs: %w", err)
+	}
+	if err := s.journal.Compact(data); err != nil {
+		return fmt.Errorf("compact jobs: %w", err)
+	}
+	return nil
+}
+
+// forget drops jobs that ended long ago; the caller holds mu.
+func (s *store) forget(now time.Time) {
+	for id, job := range s.kept {
+		if job.State.Ended() && now.Sub(job.Ended) >= keepEnded {
+			delete(s.kept, id)
+		}
+	}
+}
+
+// full returns everything as one update; the caller holds mu.
+func (s *store) full() update {
+	u := update{Position: s.position, Full: true}
+	for _, job := range s.kept {
+		u.Jobs = append(u.Jobs, job)
+	}
+	sort.Slice(u.Jobs, func(i, j int) bool { return u.Jobs[i].Spec.ID < u.Jobs[j].Spec.ID })
+	return u
+}
+
+// snapshot returns everything as one update.
+func (s *store) snapshot() update {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forget(time.Now())
+	return s.full()
+}
+
+func (s *store) at() position {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.position
+}
+
+func (s *store) jobs() []placer.Job {
+	return s.snapshot().Jobs
+}
+
+// accept takes an update from the owner. It returns false if the copy does not
+// reach to where the update starts, or if the update is from an owner that has
+// been replaced.
+func (s *store) accept(u update) (bool, error) {
+	at := s.at()
+	if u.Position.Epoch < at.Epoch {
+		return false, nil
+	}
+	if !at.before(u.Position) {
+		return true, nil
+	}
+	if !u.Full && u.After != at {
+		return false, nil
+	}
+	if err := s.write(u); err != nil {
+		return false, err
+	}
+	return true, nil
+}
+
+func (s *store) close() {
+	if s.journal != nil {
+		_ = s.journal.Close()
+	}
+}
--- /dev/null
+++ b/placer/engine.go
@@ -0,0 +1,416 @@
+package placer
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"cranberrystack.dev/cranberrystack/configurer"
+	"cranberrystack.dev/cranberrystack/identifier"
+	"cranberrystack.dev/cranberrystack/leaser"
+	"cranberrystack.dev/cranberrystack/packer"
+)
+
+// workerState is what the engine knows of one worker.
+type workerState struct {
+	info  Worker
+	heard time.Time
+	// sequence orders the reports of one incarnation.
+	sequence uint64
+	// used counts the accelerators held by pieces.
+	used int
+	// guaranteed counts those of them held by guaranteed jobs.
+	guaranteed int
+	// jobs are those with pieces here that hold accelerators.
+	jobs *jobSet
+	// failures are the jobs that failed here since the last success.
+	failures map[identifier.JobID]bool
+	// quarantined is until when the worker gets no work.
+	quarantined time.Time
+}
+
+// Engine places the jobs of one data centre. It is not safe for concurrent
+// use.
+type Engine struct {
+	options    options
+	dataCenter identifier.DataCenterID
+	epoch      identifier.Epoch
+	// began is when this owner's epoch began.
+	began time.Time
+	lists index
+	// dataCenters is the number of data centres that share a plan's limit.
+	dataCenters int
+
+	jobs    map[identifier.JobID]*Job
+	workers map[identifier.WorkerID]*workerState
+	// order lists the workers by kind, rack and position; slots mirrors it.
+	order map[string][]*workerState
+	// queue holds the jobs in StateQueued, oldest first.
+	queue   []*Job
+	running *jobSet
+	open    int
+	usage   usage
+	learnt  learnt
+	holds   map[identifier.JobID]*hold
+
+	attempt uint64
+	touched bool
+	// forgot is when ended jobs were last forgotten.
+	forgot time.Time
+	dirty  []*Job
+	out    Output
+}
+
+// New returns the engine of an owner with a new epoch. jobs are those that
+// earlier owners kept; what may still be running is adopted as workers report
+// it.
+func New(dataCenter identifier.DataCenterID, epoch identifier.Epoch, dataCenters int, jobs []Job, now time.Time, opts ...Option) *Engine {
+	e := &Engine{
+		options: newOptions(opts...), dataCenter: dataCenter, epoch: epoch, began: now,
+		dataCenters: max(dataCenters, 1),
+		jobs:        map[identifier.JobID]*Job{}, workers: map[identifier.WorkerID]*workerState{},
+		order: map[string][]*workerState{}, running: newJobSet(),
+		usage: newUsage(), learnt: newLearnt(), holds: map[identifier.JobID]*hold{},
+		attempt: uint64(epoch) << attemptBits,
+	}
+	for i := range jobs {
+		e.adopt(jobs[i], now)
+	}
+	sort.SliceStable(e.queue, func(i, j int) bool { return e.queue[i].Submitted.Before(e.queue[j].Submitted) })
+	return e
+}
+
+// attemptBits leaves each epoch room for so many attempts, so that no two
+// owners use the same number.
+const attemptBits = 32
+
+func (e *Engine) adopt(kept Job, now time.Time) {
+	job := &kept
+	job.changed = now
+	e.jobs[job.Spec.ID] = job
+	if job.State.Ended() {
+		return
+	}
+	e.open++
+	if job.State == StateQueued {
+		e.queue = append(e.queue, job)
+		return
+	}
+	job.adopting = true
+	job.Pieces = append([]Piece(nil), job.Pieces...)
+	for i := range job.Pieces {
+		if job.Pieces[i].holds() {
+			job.Pieces[i].held = now.Add(e.options.lease + e.options.leaseMargin)
+		}
+	}
+	e.running.add(job)
+	e.usage.add(job, 1)
+}
+
+// SetLists puts lists in force.
+func (e *Engine) SetLists(view configurer.View) {
+	e.lists = newIndex(view)
+	e.touched = true
+}
+
+// Take returns what has to be done since the last call.
+func (e *Engine) Take() Output {
+	out := e.out
+	for _, job := range e.dirty {
+		job.dirty = false
+		out.Changed = append(out.Changed, job.copied())
+	}
+	e.dirty = nil
+	e.out = Output{}
+	return out
+}
+
+func (j *Job) copied() Job {
+	copied := *j
+	copied.Pieces = append([]Piece(nil), j.Pieces...)
+	copied.FailedOn = append([]identifier.WorkerID(nil), j.FailedOn...)
+	return copied
+}
+
+func (e *Engine) mark(job *Job) {
+	if !job.dirty {
+		job.dirty = true
+		e.dirty = append(e.dirty, job)
+	}
+}
+
+func (e *Engine) enter(job *Job, state State, now time.Time) {
+	if job.State == StateQueued && state != StateQueued {
+		e.unqueue(job)
+	}
+	job.State = state
+	job.changed = now
+	e.touched = true
+	e.mark(job)
+}
+
+func (e *Engine) unqueue(job *Job) {
+	for i, queued := range e.queue {
+		if queued == job {
+			e.queue = append(e.queue[:i], e.queue[i+1:]...)
+			return
+		}
+	}
+}
+
+// Submit queues a job. The same job sent again changes nothing. Errors:
+// ErrNoSuchPlan, ErrImpossible with the reason, ErrConflict, ErrFull.
+func (e *Engine) Submit(spec Spec, now time.Time) error {
+	if known, found := e.jobs[spec.ID]; found {
+		if known.Spec.Member != spec.Member || !sameSpec(known.Spec, spec) {
+			return ErrConflict
+		}
+		return nil
+	}
+	if err := e.check(spec); err != nil {
+		return err
+	}
+	if e.open >= e.options.maxJobs {
+		return ErrFull
+	}
+	job := &Job{Spec: spec, State: StateQueued, Submitted: now, changed: now}
+	e.jobs[spec.ID] = job
+	e.queue = append(e.queue, job)
+	e.open++
+	e.touched = true
+	e.mark(job)
+	return nil
+}
+
+func sameSpec(left, right Spec) bool {
+	return left.Plan == right.Plan && left.Team == right.Team && left.Shape == right.Shape &&
+		left.Accelerator == right.Accelerator && string(left.Payload) == string(right.Payload)
+}
+
+// Cancel ends a job. Before its start it ends at once, else when its workers
+// have confirmed. Cancelling an ended job changes nothing.
+func (e *Engine) Cancel(member identifier.MemberID, id identifier.JobID, now time.Time) error {
+	job, known := e.jobs[id]
+	if !known || job.Spec.Member != member {
+		return ErrNoSuchJob
+	}
+	if job.State.Ended() {
+		return nil
+	}
+	delete(e.holds, id)
+	job.Reason = "cancelled by the caller"
+	if job.State == StateQueued {
+		e.finish(job, StateCancelled, now)
+		return nil
+	}
+	e.stop(job, StateCancelled, false, 0, now)
+	return nil
+}
+
+// Job returns a member's job.
+func (e *Engine) Job(member identifier.MemberID, id identifier.JobID) (Job, error) {
+	job, known := e.jobs[id]
+	if !known || job.Spec.Member != member {
+		return Job{}, ErrNoSuchJob
+	}
+	return job.copied(), nil
+}
+
+// Jobs returns a member's jobs in order of submission.
+func (e *Engine) Jobs(member identifier.MemberID) []Job {
+	var jobs []Job
+	for _, job := range e.jobs {
+		if job.Spec.Member == member {
+			jobs = append(jobs, job.copied())
+		}
+	}
+	sort.Slice(jobs, func(i, j int) bool {
+		if !jobs[i].Submitted.Equal(jobs[j].Submitted) {
+			return jobs[i].Submitted.Before(jobs[j].Submitted)
+		}
+		return jobs[i].Spec.ID < jobs[j].Spec.ID
+	})
+	return jobs
+}
+
+// Pool returns the slots of each kind of accelerator as if nothing ran.
+func (e *Engine) Pool() []configurer.Pool {
+	var pools []configurer.Pool
+	for accelerator, order := range e.order {
+		pool := configurer.Pool{DataCenter: e.dataCenter, Accelerator: accelerator}
+		for _, w := range order {
+			pool.Slots = append(pool.Slots, packer.Slot{
+				Worker: w.info.ID, Rack: w.info.Rack,
+				Free: w.info.Accelerators, Total: w.info.Accelerators,
+			})
+		}
+		pools = append(pools, pool)
+	}
+	sort.Slice(pools, func(i, j int) bool { return pools[i].Accelerator < pools[j].Accelerator })
+	return pools
+}
+
+// finish ends a job whose pieces hold nothing any more.
+func (e *Engine) finish(job *Job, state State, now time.Time) {
+	job.Ended = now
+	e.enter(job, state, now)
+	e.open--
+	e.running.remove(job.Spec.ID)
+	delete(e.holds, job.Spec.ID)
+	e.free(job)
+}
+
+// requeue puts a job back whose pieces hold nothing any more.
+func (e *Engine) requeue(job *Job, now time.Time) {
+	e.running.remove(job.Spec.ID)
+	e.free(job)
+	job.Pieces = nil
+	job.Guaranteed = false
+	job.Started = time.Time{}
+	e.enter(job, StateQueued, now)
+	place := sort.Search(len(e.queue), func(i int) bool { return e.queue[i].Submitted.After(job.Submitted) })
+	e.queue = append(e.queue, nil)
+	copy(e.queue[place+1:], e.queue[place:])
+	e.queue[place] = job
+}
+
+// free drops a job from the books of its plan and team.
+func (e *Engine) free(job *Job) {
+	for i := range job.Pieces {
+		e.release(job, &job.Pieces[i], PieceReleased)
+	}
+	if len(job.Pieces) > 0 {
+		e.usage.add(job, -1)
+	}
+}
+
+// release ends a piece's hold on its worker.
+func (e *Engine) release(job *Job, piece *Piece, state PieceState) {
+	held := piece.holds()
+	piece.State = state
+	if !held {
+		return
+	}
+	e.touched = true
+	w, known := e.workers[piece.Worker]
+	if !known {
+		return
+	}
+	if w.jobs.remove(job.Spec.ID) {
+		w.used -= piece.Parts * job.Spec.Shape.PerPart
+		if job.Guaranteed {
+			w.guaranteed -= piece.Parts * job.Spec.Shape.PerPart
+		}
+	}
+}
+
+// occupy books a piece on its worker.
+func (e *Engine) occupy(job *Job, piece *Piece) {
+	w, known := e.workers[piece.Worker]
+	if !known {
+		return
+	}
+	if _, here := w.jobs.get(job.Spec.ID); here {
+		return
+	}
+	w.jobs.add(job)
+	w.used += piece.Parts * job.Spec.Shape.PerPart
+	if job.Guaranteed {
+		w.guaranteed += piece.Parts * job.Spec.Shape.PerPart
+	}
+}
+
+func (e *Engine) setGuaranteed(job *Job, unit Unit) {
+	job.Guaranteed = true
+	job.Unit = unit
+	e.usage.units[unit]++
+	for i := range job.Pieces {
+		if w, known := e.workers[job.Pieces[i].Worker]; known && job.Pieces[i].holds() {
+			if _, here := w.jobs.get(job.Spec.ID); here {
+				w.guaranteed += job.Pieces[i].Parts * job.Spec.Shape.PerPart
+			}
+		}
+	}
+	e.mark(job)
+}
+
+// stop tells all workers to stop a job's pieces; next follows when they have
+// confirmed or their leases have run out.
+func (e *Engine) stop(job *Job, next State, checkpoint bool, grace time.Duration, now time.Time) {
+	if job.State == StateStopping {
+		if next == StateCancelled {
+			job.Next = StateCancelled
+			e.mark(job)
+		}
+		return
+	}
+	job.Next = next
+	e.enter(job, StateStopping, now)
+	for i := range job.Pieces {
+		if job.Pieces[i].holds() {
+			e.command(job, &job.Pieces[i], Command{Kind: CommandStop, Checkpoint: checkpoint, Grace: grace})
+		}
+	}
+	e.settleStopped(job, now)
+}
+
+func (e *Engine) command(job *Job, piece *Piece, command Command) {
+	command.Worker = piece.Worker
+	command.ID = leaser.ID{Job: job.Spec.ID, Attempt: job.Attempt}
+	command.Epoch = e.epoch
+	e.out.Commands = append(e.out.Commands, command)
+}
+
+// settleStopped moves a stopping job on once no piece holds anything.
+func (e *Engine) settleStopped(job *Job, now time.Time) {
+	for i := range job.Pieces {
+		if job.Pieces[i].holds() {
+			return
+		}
+	}
+	e.countLost(job, now)
+	switch job.Next {
+	case StateQueued:
+		e.requeue(job, now)
+	default:
+		e.finish(job, job.Next, now)
+	}
+}
+
+// countLost notes the work since the last checkpoint as lost.
+func (e *Engine) countLost(job *Job, now time.Time) {
+	if job.Started.IsZero() {
+		return
+	}
+	done := now.Sub(job.Started)
+	kept := time.Duration(0)
+	if job.Spec.Checkpointable {
+		kept = e.takeCheckpoint(job)
+	}
+	if lost := done - kept; lost > 0 {
+		job.Lost += lost * time.Duration(job.Spec.Shape.Total())
+	}
+}
+
+// takeCheckpoint moves the job's progress to what every piece has kept and
+// returns the gain.
+func (e *Engine) takeCheckpoint(job *Job) time.Duration {
+	if len(job.Pieces) == 0 {
+		return 0
+	}
+	progress := job.Pieces[0].Progress
+	for i := range job.Pieces {
+		progress = min(progress, job.Pieces[i].Progress)
+	}
+	gain := max(progress-job.Progress, 0)
+	job.Progress += gain
+	return gain
+}
+
+// String describes a job for logs.
+func (j *Job) String() string {
+	return fmt.Sprintf("%s/%s attempt %d %s", j.Spec.Member, j.Spec.ID, j.Attempt, j.State)
+}
+
+// LeaseTTL is the length to which a report renews leases.
+func (e *Engine) LeaseTTL() time.Duration { return e.options.lease }
--- /dev/null
+++ b/placer/reclaim.go
@@ -0,0 +1,191 @@
+package placer
+
+import (
+	"sort"
+	"time"
+
+	"cranberrystack.dev/cranberrystack/packer"
+)
+
+// victim is a borrower that could be put out of a place.
+type victim struct {
+	job *Job
+	// cost is the accelerator time that would be lost.
+	cost time.Duration
+}
+
+// reclaim has borrowers put out so that a guaranteed job gets its shape. It
+// takes the place whose borrowers lose the least work.
+func (e *Engine) reclaim(job *Job, unit Unit, now time.Time) bool {
+	pieces, victims, found := e.cheapestPlace(job, unit, now)
+	if !found {
+		return false
+	}
+	grace := e.options.grace
+	if job.Spec.Urgent {
+		grace = min(grace, e.options.urgentGrace)
+	}
+	until := now.Add(grace + reclaimSlack)
+	e.holds[job.Spec.ID] = e.newHold(job, pieces, until, true)
+	for _, borrower := range victims {
+		borrower.Reclaims++
+		borrower.Reason = "space reclaimed for a guarantee of plan " + string(job.Spec.Plan)
+		given := grace
+		if !borrower.Spec.Checkpointable {
+			given = 0
+		}
+		e.stop(borrower, StateQueued, borrower.Spec.Checkpointable, given, now)
+	}
+	return true
+}
+
+// cheapestPlace tries the place that the shape takes when only guaranteed jobs
+// stand in the way, and then places made by putting out borrowers from the
+// cheapest on, and returns the one with the least lost work.
+func (e *Engine) cheapestPlace(job *Job, unit Unit, now time.Time) ([]packer.Piece, []*Job, bool) {
+	accelerator := job.Spec.Accelerator
+	candidates := e.borrowersByCost(accelerator, now)
+	slots := e.freeSlots(accelerator, job, now)
+	index := e.slotIndex(accelerator)
+	count := sort.Search(len(candidates)+1, func(count int) bool {
+		_, fits := e.findWithout(slots, index, candidates[:count], job.Spec.Shape)
+		return fits
+	})
+	for ; count <= len(candidates); count++ {
+		pieces, fits := e.findWithout(slots, index, candidates[:count], job.Spec.Shape)
+		if fits && e.keepsGuarantees(accelerator, pieces, job.Spec.Shape, unit) {
+			return pieces, e.needed(slots, candidates[:count], pieces, job.Spec.Shape), true
+		}
+	}
+	return nil, nil, false
+}
+
+// borrowersByCost lists the jobs that may be put out, the cheapest first. Jobs
+// on their way out already cost nothing more.
+func (e *Engine) borrowersByCost(accelerator string, now time.Time) []victim {
+	var victims []victim
+	for _, job := range e.running.all() {
+		if job.Guaranteed || job.adopting || job.Spec.Accelerator != accelerator || !e.reachable(job, now) {
+			continue
+		}
+		victims = append(victims, victim{job: job, cost: e.lostIfStopped(job, now)})
+	}
+	sort.Slice(victims, func(i, j int) bool {
+		if victims[i].cost != victims[j].cost {
+			return victims[i].cost < victims[j].cost
+		}
+		return victims[i].job.Spec.ID < victims[j].job.Spec.ID
+	})
+	return victims
+}
+
+// reachable reports whether a job's workers can confirm a stop now.
+func (e *Engine) reachable(job *Job, now time.Time) bool {
+	for i := range job.Pieces {
+		if !job.Pieces[i].holds() {
+			continue
+		}
+		w, known := e.workers[job.Pieces[i].Worker]
+		if !known || now.Sub(w.heard) >= e.options.silence {
+			return false
+		}
+	}
+	return job.State != StateStopping || now.Sub(job.changed) < e.options.grace+reclaimSlack
+}
+
+// checkpointCost is the work that a stop with a checkpoint loses.
+const checkpointCost = 5 * time.Second
+
+func (e *Engine) lostIfStopped(job *Job, now time.Time) time.Duration {
+	total := time.Duration(job.Spec.Shape.Total())
+	if job.State == StateStopping || job.Started.IsZero() {
+		return 0
+	}
+	done := now.Sub(job.Started)
+	if job.Spec.Checkpointable {
+		return min(done, checkpointCost) * total
+	}
+	return done * total
+}
+
+// findWithout finds a place for a shape as if the victims were gone.
+func (e *Engine) findWithout(slots []packer.Slot, index map[workerID]int, victims []victim, shape packer.Shape) ([]packer.Piece, bool) {
+	scratch := append([]packer.Slot(nil), slots...)
+	for _, v := range victims {
+		for i := range v.job.Pieces {
+			piece := &v.job.Pieces[i]
+			place, known := index[piece.Worker]
+			if !known || !piece.holds() {
+				continue
+			}
+			w := e.workers[piece.Worker]
+			if w.info.Leaving || scratch[place].Free >= w.info.Accelerators {
+				continue
+			}
+			scratch[place].Free += piece.Parts * v.job.Spec.Shape.PerPart
+		}
+	}
+	return packer.Find(scratch, shape)
+}
+
+// needed returns the victims without which the place would not be free. The
+// dearest are spared first; one that frees nothing is never taken.
+func (e *Engine) needed(slots []packer.Slot, victims []victim, pieces []packer.Piece, shape packer.Shape) []*Job {
+	short := map[workerID]int{}
+	for _, piece := range pieces {
+		short[slots[piece.Slot].Worker] = piece.Parts*shape.PerPart - slots[piece.Slot].Free
+	}
+	freed := map[workerID]int{}
+	for _, v := range victims {
+		addPieces(freed, v.job, 1)
+	}
+	keep := map[*Job]bool{}
+	for i := len(victims) - 1; i >= 0; i-- {
+		job := victims[i].job
+		addPieces(freed, job, -1)
+		if !enough(freed, short) {
+			addPieces(freed, job, 1)
+			keep[job] = true
+		}
+	}
+	var jobs []*Job
+	for _, v := range victims {
+		if keep[v.job] {
+			jobs = append(jobs, v.job)
+		}
+	}
+	return jobs
+}
+
+func addPieces(freed map[workerID]int, job *Job, sign int) {
+	for i := range job.Pieces {
+		if job.Pieces[i].holds() {
+			freed[job.Pieces[i].Worker] += sign * job.Pieces[i].Parts * job.Spec.Shape.PerPart
+		}
+	}
+}
+
+func enough(freed, short map[workerID]int) bool {
+	for worker, missing := range short {
+		if freed[worker] < missing {
+			return false
+		}
+	}
+	return true
+}
+
+// watchHolds gives up a hold whose time has passed, so that another place is
+// looked for.
+func (e *Engine) watchHolds(now time.Time) {
+	for id, h := range e.holds {
+		if now.Before(h.until) {
+			continue
+		}
+		if job, known := e.jobs[id]; known && job.State == StateQueued && !h.reclaiming {
+			h.until = now.Add(e.options.reserveAfter)
+			continue
+		}
+		delete(e.holds, id)
+		e.touched = true
+	}
+}
