--- /dev/null
+++ b/placer/schedule.go
@@ -0,0 +1,377 @@
+package placer
+
+import (
+	"sort"
+	"time"
+
+	"cranberrystack.dev/cranberrystack/identifier"
+	"cranberrystack.dev/cranberrystack/packer"
+)
+
+// Tick lets time pass: it looks at timeouts and starts what may start.
+func (e *Engine) Tick(now time.Time) {
+	e.watchRunning(now)
+	e.watchHolds(now)
+	if !e.touched {
+		return
+	}
+	e.touched = false
+	e.promote()
+	e.schedule(now)
+}
+
+// schedule starts waiting jobs. Those within their guarantee come first and
+// may have borrowers put out; all others follow by their plan's and team's
+// share of what they may use, then by age.
+func (e *Engine) schedule(now time.Time) {
+	waiting := append([]*Job(nil), e.queue...)
+	var borrowers []*Job
+	stuck := map[shapeKey]bool{}
+	for _, job := range urgentFirst(waiting) {
+		if !e.withinLimits(job) {
+			continue
+		}
+		key := e.keyOf(job)
+		unit, found := e.freeUnit(&job.Spec)
+		if found && !stuck[key] && e.startGuaranteed(job, unit, now) {
+			continue
+		}
+		stuck[key] = true
+		borrowers = append(borrowers, job)
+	}
+	e.startBorrowers(borrowers, now)
+}
+
+func urgentFirst(jobs []*Job) []*Job {
+	sort.SliceStable(jobs, func(i, j int) bool { return jobs[i].Spec.Urgent && !jobs[j].Spec.Urgent })
+	return jobs
+}
+
+// startGuaranteed starts a job within its guarantee, or has borrowers put out
+// for it. It returns false if the job is better served as a borrower.
+func (e *Engine) startGuaranteed(job *Job, unit Unit, now time.Time) bool {
+	if h, held := e.holds[job.Spec.ID]; held && h.reclaiming {
+		return e.startHeld(job, h, unit, now)
+	}
+	slots := e.freeSlots(job.Spec.Accelerator, job, now)
+	pieces, fits := packer.Find(slots, job.Spec.Shape)
+	if fits && e.keepsGuarantees(job.Spec.Accelerator, pieces, job.Spec.Shape, unit) {
+		e.start(job, pieces, now)
+		e.setGuaranteed(job, unit)
+		return true
+	}
+	return e.reclaim(job, unit, now)
+}
+
+// startHeld starts a job in its held place once the borrowers are gone.
+func (e *Engine) startHeld(job *Job, h *hold, unit Unit, now time.Time) bool {
+	slots := e.freeSlots(job.Spec.Accelerator, job, now)
+	for _, piece := range h.pieces {
+		if piece.Slot >= len(slots) || slots[piece.Slot].Free < piece.Parts*job.Spec.Shape.PerPart {
+			return true
+		}
+	}
+	delete(e.holds, job.Spec.ID)
+	e.start(job, h.pieces, now)
+	e.setGuaranteed(job, unit)
+	return true
+}
+
+// shapeKey groups jobs for which the same search gives the same result.
+type shapeKey struct {
+	plan        identifier.PlanID
+	accelerator string
+	shape       packer.Shape
+	failures    int
+	expected    time.Duration
+	urgent      bool
+}
+
+func (e *Engine) keyOf(job *Job) shapeKey {
+	spec := &job.Spec
+	return shapeKey{
+		plan: spec.Plan, accelerator: spec.Accelerator, shape: spec.Shape, urgent: spec.Urgent,
+		failures: len(job.FailedOn), expected: e.learnt.expected(spec),
+	}
+}
+
+// lane holds the waiting jobs of one team, in order.
+type lane struct {
+	jobs  []*Job
+	share float64
+}
+
+// startBorrowers starts what fits into free space. Once a gang that has waited
+// long does not fit, a place is held for it, so that small jobs do not keep
+// taking the pieces of it.
+func (e *Engine) startBorrowers(jobs []*Job, now time.Time) {
+	lanes := e.lanes(jobs)
+	failed := map[shapeKey]bool{}
+	for {
+		next := emptiest(lanes)
+		if next == nil {
+			return
+		}
+		job := next.jobs[0]
+		next.jobs = next.jobs[1:]
+		key := e.keyOf(job)
+		_, held := e.holds[job.Spec.ID]
+		if (failed[key] && !held) || !e.withinLimits(job) {
+			continue
+		}
+		if !e.startBorrower(job, now) {
+			failed[key] = true
+			e.reserve(job, now)
+			continue
+		}
+		for _, l := range lanes {
+			if len(l.jobs) > 0 && l.jobs[0].Spec.Plan == job.Spec.Plan {
+				l.share = e.dominantShare(l.jobs[0])
+			}
+		}
+	}
+}
+
+// lanes groups jobs by team, with those that have a place held in lanes of
+// their own, which go first.
+func (e *Engine) lanes(jobs []*Job) []*lane {
+	var lanes []*lane
+	byTeam := map[teamUse]*lane{}
+	for _, job := range jobs {
+		key := teamUse{job.Spec.Plan, job.Spec.Team, job.Spec.Accelerator}
+		own, known := byTeam[key]
+		if _, held := e.holds[job.Spec.ID]; held {
+			lanes = append(lanes, &lane{jobs: []*Job{job}, share: e.dominantShare(job)})
+			continue
+		}
+		if !known {
+			own = &lane{share: e.dominantShare(job)}
+			byTeam[key] = own
+			lanes = append(lanes, own)
+		}
+		own.jobs = append(own.jobs, job)
+	}
+	return lanes
+}
+
+func emptiest(lanes []*lane) *lane {
+	var best *lane
+	for _, l := range lanes {
+		if len(l.jobs) > 0 && (best == nil || l.share < best.share) {
+			best = l
+		}
+	}
+	return best
+}
+
+// dominantShare is the larger of the plan's and the team's part of what each
+// may use. A job with a place held goes first.
+func (e *Engine) dominantShare(job *Job) float64 {
+	if _, held := e.holds[job.Spec.ID]; held {
+		return -1
+	}
+	spec := &job.Spec
+	share := 0.0
+	if allowance, known := e.lists.allowance(spec.Plan, spec.Accelerator); known && allowance.Limit > 0 {
+		share = float64(e.usage.plans[planUse{spec.Plan, spec.Accelerator}]) / float64(allowance.Limit)
+	}
+	plan, known := e.lists.plan(spec.Plan)
+	if !known {
+		return share
+	}
+	if team, found := findTeam(plan, spec.Team); found && team.Quota > 0 {
+		used := e.usage.teams[teamUse{spec.Plan, spec.Team, spec.Accelerator}]
+		share = max(share, float64(used)/float64(team.Quota))
+	}
+	return share
+}
+
+func (e *Engine) startBorrower(job *Job, now time.Time) bool {
+	slots := e.freeSlots(job.Spec.Accelerator, job, now)
+	pieces, fits := packer.Find(slots, job.Spec.Shape)
+	if !fits {
+		return e.backfill(job, now)
+	}
+	delete(e.holds, job.Spec.ID)
+	e.start(job, pieces, now)
+	return true
+}
+
+// backfill lets a short job use space that is held for a gang, if it is
+// expected to be gone before the gang can start.
+func (e *Engine) backfill(job *Job, now time.Time) bool {
+	if len(e.holds) == 0 {
+		return false
+	}
+	end := now.Add(e.learnt.expected(&job.Spec))
+	kept := e.holds
+	e.holds = map[jobID]*hold{}
+	for id, h := range kept {
+		if h.reclaiming || !end.Before(h.until) {
+			e.holds[id] = h
+		}
+	}
+	slots := e.freeSlots(job.Spec.Accelerator, job, now)
+	e.holds = kept
+	pieces, fits := packer.Find(slots, job.Spec.Shape)
+	if fits {
+		e.start(job, pieces, now)
+	}
+	return fits
+}
+
+// reserve holds the place that is expected to become free first for a gang
+// that has waited long. One hold a kind of accelerator is enough: more would
+// keep too much empty.
+func (e *Engine) reserve(job *Job, now time.Time) {
+	if job.Spec.Shape.Total() < 2 || now.Sub(job.Submitted) < e.options.reserveAfter {
+		return
+	}
+	for _, h := range e.holds {
+		if h.accelerator == job.Spec.Accelerator && !h.reclaiming {
+			return
+		}
+	}
+	pieces, at, found := e.soonest(job, now)
+	if !found {
+		return
+	}
+	e.holds[job.Spec.ID] = e.newHold(job, pieces, at, false)
+}
+
+func (e *Engine) newHold(job *Job, pieces []packer.Piece, until time.Time, reclaiming bool) *hold {
+	h := &hold{
+		accelerator: job.Spec.Accelerator, pieces: pieces, shape: job.Spec.Shape,
+		until: until, reclaiming: reclaiming,
+	}
+	order := e.order[job.Spec.Accelerator]
+	for _, piece := range pieces {
+		h.workers = append(h.workers, order[piece.Slot])
+	}
+	return h
+}
+
+// soonest finds where a shape fits once the running jobs expected to end
+// first have ended.
+func (e *Engine) soonest(job *Job, now time.Time) ([]packer.Piece, time.Time, bool) {
+	type ending struct {
+		job *Job
+		at  time.Time
+	}
+	var endings []ending
+	for _, running := range e.running.all() {
+		if running.Spec.Accelerator == job.Spec.Accelerator {
+			endings = append(endings, ending{running, e.expectedEnd(running, now)})
+		}
+	}
+	sort.Slice(endings, func(i, j int) bool {
+		if !endings[i].at.Equal(endings[j].at) {
+			return endings[i].at.Before(endings[j].at)
+		}
+		return endings[i].job.Spec.ID < endings[j].job.Spec.ID
+	})
+	slots := e.freeSlots(job.Spec.Accelerator, job, now)
+	index := e.slotIndex(job.Spec.Accelerator)
+	give := func(count int) []packer.Slot {
+		future := append([]packer.Slot(nil), slots...)
+		for _, ends := range endings[:count] {
+			for i := range ends.job.Pieces {
+				piece := &ends.job.Pieces[i]
+				if place, known := index[piece.Worker]; known && piece.holds() {
+					future[place].Free += piece.Parts * ends.job.Spec.Shape.PerPart
+				}
+			}
+		}
+		return future
+	}
+	count := sort.Search(len(endings)+1, func(count int) bool {
+		_, fits := packer.Find(give(count), job.Spec.Shape)
+		return fits
+	})
+	if count > len(endings) {
+		return nil, time.Time{}, false
+	}
+	pieces, _ := packer.Find(give(count), job.Spec.Shape)
+	at := now
+	if count > 0 {
+		at = endings[count-1].at
+	}
+	return pieces, at, true
+}
+
+func (e *Engine) slotIndex(accelerator string) map[workerID]int {
+	index := map[workerID]int{}
+	for i, w := range e.order[accelerator] {
+		index[w.info.ID] = i
+	}
+	return index
+}
+
+func (e *Engine) expectedEnd(job *Job, now time.Time) time.Time {
+	if job.State == StateStopping {
+		return job.changed.Add(e.options.grace)
+	}
+	started := job.Started
+	if started.IsZero() {
+		started = now
+	}
+	end := started.Add(e.learnt.expected(&job.Spec) - job.Progress)
+	if end.Before(now) {
+		return now.Add(now.Sub(started))
+	}
+	return end
+}
+
+// start leases all pieces of a gang. Nothing runs before all are leased.
+func (e *Engine) start(job *Job, pieces []packer.Piece, now time.Time) {
+	e.attempt++
+	job.Attempt = e.attempt
+	job.Reason = ""
+	job.Pieces = nil
+	order := e.order[job.Spec.Accelerator]
+	for _, piece := range pieces {
+		job.Pieces = append(job.Pieces, Piece{
+			Worker: order[piece.Slot].info.ID, Parts: piece.Parts,
+			State: PieceAsked, held: now.Add(e.options.lease + e.options.leaseMargin),
+			Progress: job.Progress,
+		})
+	}
+	e.usage.add(job, 1)
+	e.running.add(job)
+	e.enter(job, StateLeasing, now)
+	for i := range job.Pieces {
+		e.occupy(job, &job.Pieces[i])
+		e.command(job, &job.Pieces[i], Command{
+			Kind: CommandLease, TTL: e.options.lease,
+			Accelerators: job.Pieces[i].Parts * job.Spec.Shape.PerPart,
+		})
+	}
+}
+
+// promote marks borrowers as guaranteed where their plan's guarantee has room
+// and no other guarantee loses its place.
+func (e *Engine) promote() {
+	for _, job := range e.running.all() {
+		if job.Guaranteed || job.State == StateStopping || job.adopting {
+			continue
+		}
+		unit, found := e.freeUnit(&job.Spec)
+		if !found {
+			continue
+		}
+		if e.keepsGuarantees(job.Spec.Accelerator, e.piecesOf(job), job.Spec.Shape, unit) {
+			e.setGuaranteed(job, unit)
+		}
+	}
+}
+
+func (e *Engine) piecesOf(job *Job) []packer.Piece {
+	index := e.slotIndex(job.Spec.Accelerator)
+	var pieces []packer.Piece
+	for i := range job.Pieces {
+		if place, known := index[job.Pieces[i].Worker]; known && job.Pieces[i].holds() {
+			pieces = append(pieces, packer.Piece{Slot: place, Parts: job.Pieces[i].Parts})
+		}
+	}
+	return pieces
+}
--- /dev/null
+++ b/placer/slots.go
@@ -0,0 +1,128 @@
+package placer
+
+import (
+	"sort"
+	"time"
+
+	"cranberrystack.dev/cranberrystack/packer"
+)
+
+// sortUnits orders units from the largest and tightest on.
+func sortUnits(units []Unit) {
+	sort.SliceStable(units, func(i, j int) bool {
+		left, right := units[i].Shape, units[j].Shape
+		if left.Total() != right.Total() {
+			return left.Total() > right.Total()
+		}
+		return tightness[left.Adjacent] > tightness[right.Adjacent]
+	})
+}
+
+func emptySlots(order []*workerState) []packer.Slot {
+	slots := make([]packer.Slot, len(order))
+	for i, w := range order {
+		slots[i] = packer.Slot{
+			Worker: w.info.ID, Rack: w.info.Rack,
+			Free: w.info.Accelerators, Total: w.info.Accelerators,
+		}
+	}
+	return slots
+}
+
+// claimableSlots shows as free all that guaranteed jobs do not hold.
+func (e *Engine) claimableSlots(accelerator string) []packer.Slot {
+	slots := emptySlots(e.order[accelerator])
+	for i, w := range e.order[accelerator] {
+		slots[i].Free -= w.guaranteed
+	}
+	return slots
+}
+
+// freeSlots shows what may be given out now. A worker that is silent, leaving,
+// set aside or not yet heard by this owner has nothing free, and what is held
+// for a waiting job is free only to that job.
+func (e *Engine) freeSlots(accelerator string, job *Job, now time.Time) []packer.Slot {
+	order := e.order[accelerator]
+	slots := make([]packer.Slot, len(order))
+	for i, w := range order {
+		slots[i] = packer.Slot{Worker: w.info.ID, Rack: w.info.Rack, Total: w.info.Accelerators}
+		if e.usable(w, now) {
+			slots[i].Free = w.info.Accelerators - w.used
+		}
+	}
+	for id, h := range e.holds {
+		if h.accelerator == accelerator && (job == nil || id != job.Spec.ID) {
+			h.subtract(slots)
+		}
+	}
+	if job != nil {
+		e.avoidFailed(job, slots)
+	}
+	return slots
+}
+
+func (e *Engine) usable(w *workerState, now time.Time) bool {
+	return !w.info.Leaving && now.Sub(w.heard) < e.options.silence && !now.Before(w.quarantined)
+}
+
+func (e *Engine) avoidFailed(job *Job, slots []packer.Slot) {
+	for _, id := range job.FailedOn {
+		w, known := e.workers[id]
+		if !known || w.info.Accelerator != job.Spec.Accelerator {
+			continue
+		}
+		for i := range slots {
+			if slots[i].Worker == id {
+				slots[i].Free = 0
+			}
+		}
+	}
+}
+
+// rebuildOrder sorts the workers of a kind after one has come or moved.
+func (e *Engine) rebuildOrder(accelerator string) {
+	var order []*workerState
+	for _, w := range e.workers {
+		if w.info.Accelerator == accelerator {
+			order = append(order, w)
+		}
+	}
+	sort.Slice(order, func(i, j int) bool {
+		left, right := order[i].info, order[j].info
+		if left.Rack != right.Rack {
+			return left.Rack < right.Rack
+		}
+		if left.Position != right.Position {
+			return left.Position < right.Position
+		}
+		return left.ID < right.ID
+	})
+	if len(order) == 0 {
+		delete(e.order, accelerator)
+		return
+	}
+	e.order[accelerator] = order
+}
+
+// hold keeps a place for a waiting job.
+type hold struct {
+	accelerator string
+	pieces      []packer.Piece
+	workers     []*workerState
+	shape       packer.Shape
+	// until is when the hold is looked at again.
+	until time.Time
+	// reclaiming is set while borrowers are being put out of the place.
+	reclaiming bool
+}
+
+// subtract takes the held space from what is free to others.
+func (h *hold) subtract(slots []packer.Slot) {
+	for i, piece := range h.pieces {
+		index := piece.Slot
+		if index >= len(slots) || slots[index].Worker != h.workers[i].info.ID {
+			continue
+		}
+		slots[index].Free = max(slots[index].Free-piece.Parts*h.shape.PerPart, 0)
+	}
+}
--- /dev/null
+++ b/registrar/registrar.go
@@ -0,0 +1,209 @@
+// Package registrar keeps what upstreams announce about themselves. The
+// records are soft state: one that is not renewed expires, and entry
+// instances of a data centre pass on to each other what they hear.
+package registrar
+
+import (
+	"fmt"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"cranberrystack.dev/cranberrystack/identifier"
+)
+
+// ErrTaken reports an id that another live party announces from elsewhere.
+var ErrTaken = eris.New("id is announced from another address")
+
+// ErrStale reports an announcement older than the one in force.
+var ErrStale = eris.New("announcement is older than the one in force")
+
+// State is what a party says of itself.
+type State string
+
+// The states.
+const (
+	StateReady   State = "ready"
+	StateLeaving State = "leaving"
+)
+
+// Upstream is a back end as it announced itself.
+type Upstream struct {
+	ID      identifier.UpstreamID `json:"id"`
+	Address string                `json:"address"`
+	// Subject is the holder of the token that announced; an id belongs to it.
+	Subject string `json:"subject"`
+	// Member is the only member served; empty serves all.
+	Member identifier.MemberID `json:"member,omitempty"`
+	// Slots is the number of requests that it runs at a time, at least 1.
+	Slots int   `json:"slots"`
+	State State `json:"state"`
+	// Incarnation grows with every start.
+	Incarnation identifier.Incarnation `json:"incarnation"`
+	// Sequence grows with every announcement of one incarnation.
+	Sequence uint64 `json:"sequence"`
+}
+
+// newer reports whether an announcement replaces another of the same id.
+func (u *Upstream) newer(than *Upstream) bool {
+	if u.Incarnation != than.Incarnation {
+		return u.Incarnation > than.Incarnation
+	}
+	return u.Sequence > than.Sequence
+}
+
+// Record is an announcement with the time since it was made, which makes
+// records comparable between instances whose clocks differ.
+type Record struct {
+	Upstream Upstream      `json:"upstream"`
+	Age      time.Duration `json:"age-ns"`
+}
+
+type entry struct {
+	upstream Upstream
+	heard    time.Time
+	// fresh is set until the record has been passed on.
+	fresh bool
+}
+
+// Registrar holds the records of one data centre. It is safe for concurrent
+// use.
+type Registrar struct {
+	expiry time.Duration
+
+	mu      sync.Mutex
+	entries map[identifier.UpstreamID]*entry
+	// version grows with every change that matters to routing.
+	version uint64
+}
+
+// New returns an empty registrar whose records live for the given time.
+func New(expiry time.Duration) *Registrar {
+	return &Registrar{expiry: expiry, entries: map[identifier.UpstreamID]*entry{}}
+}
+
+// Announce takes a party's own announcement. It returns true if others have
+// to hear of it at once. Errors: ErrTaken, ErrStale.
+func (r *Registrar) Announce(upstream Upstream, now time.Time) (bool, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	current, known := r.entries[upstream.ID]
+	if !known {
+		r.put(upstream, now)
+		return true, nil
+	}
+	live := now.Sub(current.heard) < r.expiry
+	moved := current.upstream.Address != upstream.Address
+	switch {
+	case current.upstream.Subject != upstream.Subject:
+		return false, fmt.Errorf("%s: %w", upstream.ID, ErrTaken)
+	case moved && live && upstream.Incarnation <= current.upstream.Incarnation:
+		return false, fmt.Errorf("%s: %w", upstream.ID, ErrTaken)
+	case live && !upstream.newer(&current.upstream):
+		return false, fmt.Errorf("%s: %w", upstream.ID, ErrStale)
+	}
+	urgent := !live || changesRouting(&upstream, &current.upstream)
+	r.put(upstream, now)
+	return urgent, nil
+}
+
+func changesRouting(next, current *Upstream) bool {
+	return next.State != current.State || next.Incarnation != current.Incarnation ||
+		next.Slots != current.Slots || next.Address != current.Address
+}
+
+func (r *Registrar) put(upstream Upstream, now time.Time) {
+	current, known := r.entries[upstream.ID]
+	if !known || changesRouting(&upstream, &current.upstream) {
+		r.version++
+	}
+	r.entries[upstream.ID] = &entry{upstream: upstream, heard: now, fresh: true}
+}
+
+// Merge takes records that another instance heard. A record never replaces a
+// newer one.
+func (r *Registrar) Merge(records []Record, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, record := range records {
+		if record.Age >= r.expiry || record.Age < 0 {
+			continue
+		}
+		heard := now.Add(-record.Age)
+		current, known := r.entries[record.Upstream.ID]
+		if known && !record.Upstream.newer(&current.upstream) {
+			continue
+		}
+		if known && current.upstream.Subject != record.Upstream.Subject {
+			continue
+		}
+		r.put(record.Upstream, heard)
+		r.entries[record.Upstream.ID].fresh = false
+	}
+}
+
+// Fresh returns the records heard here since the last call.
+func (r *Registrar) Fresh(now time.Time) []Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var records []Record
+	for _, e := range r.entries {
+		if !e.fresh {
+			continue
+		}
+		e.fresh = false
+		records = append(records, Record{Upstream: e.upstream, Age: max(now.Sub(e.heard), 0)})
+	}
+	return records
+}
+
+// All returns every record that has not expired, for an instance that starts.
+func (r *Registrar) All(now time.Time) []Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expire(now)
+	records := make([]Record, 0, len(r.entries))
+	for _, e := range r.entries {
+		records = append(records, Record{Upstream: e.upstream, Age: max(now.Sub(e.heard), 0)})
+	}
+	sort.Slice(records, func(i, j int) bool { return records[i].Upstream.ID < records[j].Upstream.ID })
+	return records
+}
+
+// Ready returns the upstreams that take new work, in order of their ids, and
+// a version that changes whenever the answer does.
+func (r *Registrar) Ready(now time.Time) ([]Upstream, uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expire(now)
+	var ready []Upstream
+	for _, e := range r.entries {
+		if e.upstream.State == StateReady {
+			ready = append(ready, e.upstream)
+		}
+	}
+	sort.Slice(ready, func(i, j int) bool { return ready[i].ID < ready[j].ID })
+	return ready, r.version
+}
+
+// Get returns one upstream, also one that is leaving.
+func (r *Registrar) Get(id identifier.UpstreamID) (Upstream, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e, known := r.entries[id]
+	if !known {
+		return Upstream{}, false
+	}
+	return e.upstream, true
+}
+
+func (r *Registrar) expire(now time.Time) {
+	for id, e := range r.entries {
+		if now.Sub(e.heard) >= r.expiry {
+			delete(r.entries, id)
+			r.version++
+		}
+	}
+}
--- /dev/null
+++ b/responder/responder.go
@@ -0,0 +1,86 @@
+// Package responder reads JSON bodies and writes answers and errors in the
+// form that all of the system's HTTP interfaces share.
+package responder
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gin-gonic/gin"
+)
+
+// Code says in one word what kind of error an answer reports.
+type Code string
+
+// The codes, as docs/API.md promises them.
+const (
+	CodeNotRun         Code = "not-run"
+	CodeOutcomeUnknown Code = "outcome-unknown"
+	CodeOverloaded     Code = "overloaded"
+	CodeConflict       Code = "conflict"
+	CodeNoSuchPlan     Code = "no-such-plan"
+	CodeImpossible     Code = "impossible"
+	CodeInvalid        Code = "invalid"
+	CodeUnauthorized   Code = "unauthorized"
+	CodeForbidden      Code = "forbidden"
+	CodeNotFound       Code = "not-found"
+	CodeUnavailable    Code = "unavailable"
+	CodeTooLarge       Code = "too-large"
+)
+
+// HeaderCode repeats the code of an error in a header.
+const HeaderCode = "Cranberry-Code"
+
+// Problem is an error answer.
+type Problem struct {
+	Status int
+	Code   Code
+	Reason string
+	// RetryAfter tells the client when to come back; 0 leaves it open.
+	RetryAfter time.Duration
+}
+
+type problemBody struct {
+	Code       Code   `json:"code"`
+	Reason     string `json:"reason"`
+	RetryAfter int64  `json:"retry-after-ms,omitempty"`
+}
+
+// Fail writes an error answer.
+func Fail(c *gin.Context, problem Problem) {
+	c.Header(HeaderCode, string(problem.Code))
+	if problem.RetryAfter > 0 {
+		seconds := (problem.RetryAfter + time.Second - 1) / time.Second
+		c.Header("Retry-After", strconv.FormatInt(int64(seconds), 10))
+	}
+	c.AbortWithStatusJSON(problem.Status, problemBody{
+		Code: problem.Code, Reason: problem.Reason,
+		RetryAfter: problem.RetryAfter.Milliseconds(),
+	})
+}
+
+// Decode reads a JSON body of at most limit bytes into a value. It refuses
+// unknown fields. If it returns false it has written the error answer.
+func Decode(c *gin.Context, limit int64, value any) bool {
+	body := http.MaxBytesReader(c.Writer, c.Request.Body, limit)
+	decoder := json.NewDecoder(body)
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(value)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		Fail(c, Problem{Status: http.StatusRequestEntityTooLarge, Code: CodeTooLarge, Reason: "body is over " + strconv.FormatInt(limit, 10) + " bytes"})
+		return false
+	case errors.Is(err, io.EOF):
+		Fail(c, Problem{Status: http.StatusBadRequest, Code: CodeInvalid, Reason: "body is empty"})
+		return false
+	case err != nil:
+		Fail(c, Problem{Status: http.StatusBadRequest, Code: CodeInvalid, Reason: err.Error()})
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/spreader/spreader.go
@@ -0,0 +1,216 @@
+// Package spreader carries the view in force from the voters to every other
+// instance. A change is pushed at once to a few instances, which push it on;
+// each instance also fetches what it lacks from any peer that knows more. The
+// view on an instance never goes back.
+package spreader
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"cranberrystack.dev/cranberrystack/announcer"
+	"cranberrystack.dev/cranberrystack/configurer"
+	"cranberrystack.dev/cranberrystack/messenger"
+	"cranberrystack.dev/cranberrystack/responder"
+)
+
+const (
+	pushPath  = "/peer/spreader/push"
+	fetchPath = "/peer/spreader/since"
+
+	fanout          = 3
+	sendTimeout     = 2 * time.Second
+	joinTimeout     = time.Second
+	joinInterval    = 500 * time.Millisecond
+	maxMessageBytes = 32 << 20
+)
+
+type pushAnswer struct {
+	Index uint64 `json:"index"`
+}
+
+// Spreader keeps one instance's follower up to date.
+type Spreader struct {
+	follower  *configurer.Follower
+	announcer *announcer.Announcer
+	messenger *messenger.Messenger
+
+	stop chan struct{}
+	done sync.WaitGroup
+	// mu guards fetching, joined and stopped. It is never held during I/O.
+	mu       sync.Mutex
+	fetching bool
+	joined   bool
+	stopped  bool
+}
+
+// New returns a spreader for a follower.
+func New(follower *configurer.Follower, a *announcer.Announcer, m *messenger.Messenger) *Spreader {
+	s := &Spreader{follower: follower, announcer: a, messenger: m, stop: make(chan struct{})}
+	a.Watch(s.compare)
+	return s
+}
+
+// Start begins to join: until every peer has been asked once and one that
+// knows a view has answered, or this instance has taken a view otherwise, it
+// is not ready.
+func (s *Spreader) Start() {
+	s.done.Go(s.join)
+}
+
+// Stop ends all sending.
+func (s *Spreader) Stop() {
+	s.mu.Lock()
+	s.stopped = true
+	s.mu.Unlock()
+	close(s.stop)
+	s.done.Wait()
+}
+
+// Joined reports whether the instance knows a view that is as new as that of
+// any peer it could reach when it started.
+func (s *Spreader) Joined() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.joined
+}
+
+// join asks all peers, so that an instance without a disk does not start on
+// lists that are older than what a reachable peer knows.
+func (s *Spreader) join() {
+	for {
+		s.askAll()
+		if s.follower.Index() > 0 {
+			s.mu.Lock()
+			s.joined = true
+			s.mu.Unlock()
+			return
+		}
+		select {
+		case <-s.stop:
+			return
+		case <-time.After(joinInterval):
+		}
+	}
+}
+
+func (s *Spreader) askAll() {
+	var asked sync.WaitGroup
+	for _, member := range s.announcer.Members() {
+		asked.Go(func() { _ = s.fetch(member, joinTimeout) })
+	}
+	asked.Wait()
+}
+
+// Offer takes a delta from the local voter and passes it on if it is new.
+func (s *Spreader) Offer(delta configurer.Delta) {
+	if s.advance(delta) {
+		s.spread()
+	}
+}
+
+func (s *Spreader) advance(delta configurer.Delta) bool {
+	if !s.follower.Advance(delta, time.Now()) {
+		return false
+	}
+	s.announcer.SetIndex(delta.Index)
+	return true
+}
+
+// spread pushes the view to a few instances that are not known to have it.
+func (s *Spreader) spread() {
+	index := s.follower.Index()
+	var behind []announcer.Member
+	for _, member := range s.announcer.Members() {
+		if member.State == announcer.StateAlive && member.Index < index {
+			behind = append(behind, member)
+		}
+	}
+	rand.Shuffle(len(behind), func(i, j int) { behind[i], behind[j] = behind[j], behind[i] })
+	for _, member := range behind[:min(fanout, len(behind))] {
+		s.background(func() { s.push(member) })
+	}
+}
+
+// background runs work unless the spreader has stopped.
+func (s *Spreader) background(work func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.stopped {
+		s.done.Go(work)
+	}
+}
+
+func (s *Spreader) push(member announcer.Member) {
+	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+	defer cancel()
+	var answer pushAnswer
+	_ = s.messenger.Post(ctx, member.Address, pushPath, s.follower.Delta(member.Index), &answer)
+}
+
+// compare runs when another instance was heard and fetches what it knows more.
+func (s *Spreader) compare(_, heard announcer.Member) {
+	if heard.Index <= s.follower.Index() {
+		return
+	}
+	s.mu.Lock()
+	busy := s.fetching
+	s.fetching = true
+	s.mu.Unlock()
+	if busy {
+		return
+	}
+	s.background(func() {
+		_ = s.fetch(heard, sendTimeout)
+		s.mu.Lock()
+		s.fetching = false
+		s.mu.Unlock()
+	})
+}
+
+func (s *Spreader) fetch(member announcer.Member, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	var delta configurer.Delta
+	path := fetchPath + "?index=" + strconv.FormatUint(s.follower.Index(), 10)
+	if err := s.messenger.Get(ctx, member.Address, path, &delta); err != nil {
+		return fmt.Errorf("fetch lists from %s: %w", member.ID, err)
+	}
+	if s.advance(delta) {
+		s.spread()
+	}
+	return nil
+}
+
+// Routes adds the handlers that other instances call.
+func (s *Spreader) Routes(router gin.IRouter) {
+	router.POST(pushPath, s.handlePush)
+	router.GET(fetchPath, s.handleFetch)
+}
+
+func (s *Spreader) handlePush(c *gin.Context) {
+	var delta configurer.Delta
+	if !responder.Decode(c, maxMessageBytes, &delta) {
+		return
+	}
+	if s.advance(delta) {
+		s.spread()
+	}
+	c.JSON(http.StatusOK, pushAnswer{Index: s.follower.Index()})
+}
+
+func (s *Spreader) handleFetch(c *gin.Context) {
+	since, err := strconv.ParseUint(c.Query("index"), 10, 64)
+	if err != nil {
+		responder.Fail(c, responder.Problem{Status: http.StatusBadRequest, Code: responder.CodeInvalid, Reason: "index is no number"})
+		return
+	}
+	c.JSON(http.StatusOK, s.follower.Delta(since))
+}
