--- /dev/null
+++ b/cranberrybench/main.go
@@ -0,0 +1,4 @@
+// Command cranberrybench measures cranberrystack against plain baselines.
+package main
+
+func main() {}
--- /dev/null
+++ b/cranberryctl/command/jobs.go
@@ -0,0 +1,233 @@
+package command
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/spf13/cobra"
+
+	"cranberrystack.dev/cranberryctl/caller"
+)
+
+const watchCall = time.Minute
+
+type jobAnswer struct {
+	ID         string   `json:"id"`
+	Plan       string   `json:"plan"`
+	Team       string   `json:"team"`
+	State      string   `json:"state"`
+	Attempt    uint64   `json:"attempt"`
+	Workers    []string `json:"workers"`
+	Guaranteed bool     `json:"guaranteed"`
+	Reclaims   int      `json:"reclaims"`
+	Straggler  bool     `json:"straggler"`
+	Reason     string   `json:"reason"`
+}
+
+func (j *jobAnswer) ended() bool {
+	return j.State == "finished" || j.State == "failed" || j.State == "cancelled"
+}
+
+type shapeMessage struct {
+	Adjacent string `json:"adjacent"`
+	Parts    int    `json:"parts"`
+	PerPart  int    `json:"accelerators-per-part"`
+}
+
+type jobMessage struct {
+	ID             string       `json:"id"`
+	Plan           string       `json:"plan"`
+	Team           string       `json:"team"`
+	Accelerator    string       `json:"accelerator"`
+	Shape          shapeMessage `json:"shape"`
+	Kind           string       `json:"kind"`
+	Checkpointable bool         `json:"checkpointable"`
+	Urgent         bool         `json:"urgent"`
+	Declared       int64        `json:"declared-run-time-ms"`
+	Payload        []byte       `json:"payload"`
+}
+
+func newJobs(s *session) *cobra.Command {
+	group := &cobra.Command{Use: "jobs", Short: "Submit, watch and cancel jobs"}
+	group.AddCommand(newJobsSubmit(s), newJobsList(s), newJobsGet(s), newJobsWatch(s), newJobsCancel(s))
+	return group
+}
+
+func newJobsSubmit(s *session) *cobra.Command {
+	var job jobMessage
+	var declared time.Duration
+	var payload string
+	command := &cobra.Command{
+		Use: "submit", Short: "Submit a job", Args: exactly(0),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if job.ID == "" {
+				job.ID = uuid.NewString()
+			}
+			job.Declared, job.Payload = declared.Milliseconds(), []byte(payload)
+			return s.submit(cmd, job)
+		},
+	}
+	f := command.Flags()
+	f.StringVar(&job.ID, "id", "", "the job's id; a resend with the same id is safe")
+	f.StringVar(&job.Plan, "plan", "", "the plan that the job runs under")
+	f.StringVar(&job.Team, "team", "", "the team within the plan")
+	f.StringVar(&job.Accelerator, "accelerator", "gpu", "the kind of accelerator")
+	f.StringVar(&job.Shape.Adjacent, "adjacent", "worker", "\"worker\", \"neighbours\", \"rack\" or \"data-center\"")
+	f.IntVar(&job.Shape.Parts, "parts", 1, "the number of parts, which run all or not at all")
+	f.IntVar(&job.Shape.PerPart, "per-part", 1, "the accelerators of one part")
+	f.StringVar(&job.Kind, "kind", "", "groups jobs with similar run times")
+	f.BoolVar(&job.Checkpointable, "checkpointable", false, "the job can go on from a checkpoint")
+	f.BoolVar(&job.Urgent, "urgent", false, "goes first within the plan's guarantee")
+	f.DurationVar(&declared, "run-time", 0, "the expected run time")
+	f.StringVar(&payload, "payload", "", "handed to the workers as it is")
+	return command
+}
+
+func (s *session) submit(cmd *cobra.Command, job jobMessage) error {
+	body, err := json.Marshal(job)
+	if err != nil {
+		return fmt.Errorf("encode job: %w", err)
+	}
+	answer, err := s.asCaller().Send(cmd.Context(), caller.Message{Method: http.MethodPost, Path: "/v1/jobs", Body: body})
+	if err != nil {
+		return fmt.Errorf("job %s: %w", job.ID, err)
+	}
+	return s.printJob(answer)
+}
+
+func (s *session) printJob(body []byte) error {
+	if s.output == "json" {
+		return s.printJSON(body)
+	}
+	var job jobAnswer
+	if err := json.Unmarshal(body, &job); err != nil {
+		return fmt.Errorf("read job: %w", err)
+	}
+	return s.printTable(append([][]string{jobHeading}, jobRow(job)))
+}
+
+var jobHeading = []string{"JOB", "STATE", "PLAN", "TEAM", "ATTEMPT", "GUARANTEED", "RECLAIMS", "WORKERS", "REASON"}
+
+func jobRow(job jobAnswer) []string {
+	reason := job.Reason
+	if job.Straggler {
+		reason = strings.TrimSpace("straggler " + reason)
+	}
+	return []string{
+		job.ID, job.State, job.Plan, job.Team, strconv.FormatUint(job.Attempt, 10),
+		strconv.FormatBool(job.Guaranteed), strconv.Itoa(job.Reclaims), strings.Join(job.Workers, ","), reason,
+	}
+}
+
+func newJobsList(s *session) *cobra.Command {
+	return &cobra.Command{
+		Use: "list", Short: "Show the member's jobs", Args: exactly(0),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			body, err := s.asCaller().Send(cmd.Context(), caller.Message{Method: http.MethodGet, Path: "/v1/jobs"})
+			if err != nil {
+				return err
+			}
+			if s.output == "json" {
+				return s.printJSON(body)
+			}
+			var answer struct {
+				Jobs []jobAnswer `json:"jobs"`
+			}
+			if err := json.Unmarshal(body, &answer); err != nil {
+				return fmt.Errorf("read jobs: %w", err)
+			}
+			rows := [][]string{jobHeading}
+			for _, job := range answer.Jobs {
+				rows = append(rows, jobRow(job))
+			}
+			return s.printTable(rows)
+		},
+	}
+}
+
+func (s *session) getJob(cmd *cobra.Command, id, after string) ([]byte, jobAnswer, error) {
+	path := "/v1/jobs/" + url.PathEscape(id)
+	if after != "" {
+		path += "?after=" + url.QueryEscape(after)
+	}
+	var job jobAnswer
+	sender := s.asCaller()
+	sender.Timeout = max(sender.Timeout, watchCall)
+	body, err := sender.Send(cmd.Context(), caller.Message{Method: http.MethodGet, Path: path})
+	if err != nil {
+		return nil, job, err
+	}
+	if err := json.Unmarshal(body, &job); err != nil {
+		return nil, job, fmt.Errorf("read job: %w", err)
+	}
+	return body, job, nil
+}
+
+func newJobsGet(s *session) *cobra.Command {
+	return &cobra.Command{
+		Use: "get ID", Short: "Show a job", Args: exactly(1),
+		RunE: func(cmd *cobra.Command, arguments []string) error {
+			body, _, err := s.getJob(cmd, arguments[0], "")
+			if err != nil {
+				return err
+			}
+			return s.printJob(body)
+		},
+	}
+}
+
+func newJobsWatch(s *session) *cobra.Command {
+	var until string
+	command := &cobra.Command{
+		Use: "watch ID", Short: "Print a job's states until it has ended", Args: exactly(1),
+		RunE: func(cmd *cobra.Command, arguments []string) error { return s.watch(cmd, arguments[0], until) },
+	}
+	command.Flags().StringVar(&until, "until", "", "end once the job is in this state")
+	return command
+}
+
+func (s *session) watch(cmd *cobra.Command, id, until string) error {
+	last := ""
+	for {
+		_, job, err := s.getJob(cmd, id, last)
+		if err != nil {
+			return err
+		}
+		if job.State != last {
+			fmt.Fprintln(s.out, strings.TrimSpace(job.State+" "+job.Reason))
+		}
+		last = job.State
+		switch {
+		case until != "" && last == until:
+			return nil
+		case last == "finished" && until == "":
+			return nil
+		case job.ended():
+			return fmt.Errorf("%s is %s: %w", id, last, errJobFailed)
+		}
+	}
+}
+
+func newJobsCancel(s *session) *cobra.Command {
+	return &cobra.Command{
+		Use: "cancel ID...", Short: "Cancel jobs", Args: cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, arguments []string) error {
+			for _, id := range arguments {
+				body, err := s.asCaller().Send(cmd.Context(), caller.Message{Method: http.MethodDelete, Path: "/v1/jobs/" + url.PathEscape(id)})
+				if err != nil {
+					return fmt.Errorf("cancel %s: %w", id, err)
+				}
+				if err := s.printJob(body); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/cranberryctl/command/lists.go
@@ -0,0 +1,263 @@
+package command
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"sort"
+	"strconv"
+
+	"github.com/google/uuid"
+	"github.com/spf13/cobra"
+
+	"cranberrystack.dev/cranberryctl/caller"
+)
+
+// listFile is a file with the two lists. Entries are kept as they are, so that
+// the instance checks them and not an older command line.
+type listFile struct {
+	Plans      []json.RawMessage `json:"plans"`
+	Allowances []json.RawMessage `json:"allowances"`
+}
+
+type applyMessage struct {
+	RequestID  string            `json:"request-id"`
+	Expected   uint64            `json:"expected-version"`
+	Plans      []json.RawMessage `json:"plans"`
+	Allowances []json.RawMessage `json:"allowances"`
+}
+
+type listsAnswer struct {
+	Index      uint64            `json:"index"`
+	Version    uint64            `json:"version"`
+	Age        int64             `json:"age-ms"`
+	Plans      []json.RawMessage `json:"plans"`
+	Allowances []json.RawMessage `json:"allowances"`
+}
+
+type applyResult struct {
+	Accepted bool   `json:"accepted"`
+	Version  uint64 `json:"version"`
+	Winner   string `json:"winner"`
+	Reason   string `json:"reason"`
+}
+
+func newLists(s *session) *cobra.Command {
+	group := &cobra.Command{Use: "lists", Short: "Show and change the two lists"}
+	group.AddCommand(newListsGet(s), newListsDiff(s), newListsApply(s))
+	return group
+}
+
+func (s *session) getLists(cmd *cobra.Command, fresh bool) ([]byte, listsAnswer, error) {
+	path := "/v1/lists"
+	if fresh {
+		path += "?fresh=true"
+	}
+	var lists listsAnswer
+	body, err := s.asOperator().Send(cmd.Context(), caller.Message{Method: http.MethodGet, Path: path})
+	if err != nil {
+		return nil, lists, err
+	}
+	if err := json.Unmarshal(body, &lists); err != nil {
+		return nil, lists, fmt.Errorf("read lists: %w", err)
+	}
+	return body, lists, nil
+}
+
+func newListsGet(s *session) *cobra.Command {
+	var fresh bool
+	command := &cobra.Command{
+		Use: "get", Short: "Show the lists in force", Args: exactly(0),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			body, lists, err := s.getLists(cmd, fresh)
+			if err != nil {
+				return err
+			}
+			if s.output == "json" {
+				return s.printJSON(body)
+			}
+			fmt.Fprintf(s.out, "version %d, index %d, in force here for %d ms\n", lists.Version, lists.Index, lists.Age)
+			rows := [][]string{{"LIST", "ENTRY"}}
+			for _, plan := range lists.Plans {
+				rows = append(rows, []string{"plan", compact(plan)})
+			}
+			for _, allowance := range lists.Allowances {
+				rows = append(rows, []string{"allowance", compact(allowance)})
+			}
+			return s.printTable(rows)
+		},
+	}
+	command.Flags().BoolVar(&fresh, "fresh", false, "ask the leader, whose answer can't be stale")
+	return command
+}
+
+func compact(entry json.RawMessage) string {
+	var out bytes.Buffer
+	if err := json.Compact(&out, entry); err != nil {
+		return string(entry)
+	}
+	return out.String()
+}
+
+func (s *session) readLists(path string) (listFile, error) {
+	var file listFile
+	data, err := s.readFile(path)
+	if err != nil {
+		return file, err
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	if err := decoder.Decode(&file); err != nil {
+		return file, fmt.Errorf("%s: %w: %w", path, err, errUsage)
+	}
+	return file, nil
+}
+
+func newListsDiff(s *session) *cobra.Command {
+	return &cobra.Command{
+		Use: "diff FILE", Short: "Show what applying a file would change", Args: exactly(1),
+		RunE: func(cmd *cobra.Command, arguments []string) error {
+			file, err := s.readLists(arguments[0])
+			if err != nil {
+				return err
+			}
+			_, lists, err := s.getLists(cmd, true)
+			if err != nil {
+				return err
+			}
+			return s.printDiff(lists, file)
+		},
+	}
+}
+
+func (s *session) printDiff(lists listsAnswer, file listFile) error {
+	changes := append(difference("plan", lists.Plans, file.Plans), difference("allowance", lists.Allowances, file.Allowances)...)
+	if s.output == "json" {
+		data, err := json.Marshal(changes)
+		if err != nil {
+			return fmt.Errorf("encode difference: %w", err)
+		}
+		return s.printJSON(data)
+	}
+	fmt.Fprintf(s.out, "against version %d: %d changes\n", lists.Version, len(changes))
+	for _, change := range changes {
+		fmt.Fprintf(s.out, "%s %s %s\n", change.Sign, change.List, change.Entry)
+	}
+	return nil
+}
+
+// change is one line of a difference.
+type change struct {
+	Sign  string `json:"sign"`
+	List  string `json:"list"`
+	Entry string `json:"entry"`
+}
+
+// difference compares entries by their value. Shares of guarantees are left
+// out, since the system fills them in.
+func difference(list string, before, after []json.RawMessage) []change {
+	old, fresh := normalized(before), normalized(after)
+	var changes []change
+	for entry := range old {
+		if !fresh[entry] {
+			changes = append(changes, change{"-", list, entry})
+		}
+	}
+	for entry := range fresh {
+		if !old[entry] {
+			changes = append(changes, change{"+", list, entry})
+		}
+	}
+	sort.Slice(changes, func(i, j int) bool {
+		if changes[i].Entry != changes[j].Entry {
+			return changes[i].Entry < changes[j].Entry
+		}
+		return changes[i].Sign > changes[j].Sign
+	})
+	return changes
+}
+
+func normalized(entries []json.RawMessage) map[string]bool {
+	set := map[string]bool{}
+	for _, entry := range entries {
+		var value any
+		if err := json.Unmarshal(entry, &value); err != nil {
+			set[string(entry)] = true
+			continue
+		}
+		dropShares(value)
+		data, err := json.Marshal(value)
+		if err != nil {
+			data = entry
+		}
+		set[string(data)] = true
+	}
+	return set
+}
+
+func dropShares(value any) {
+	entry, isObject := value.(map[string]any)
+	if !isObject {
+		return
+	}
+	guarantees, _ := entry["guarantees"].([]any)
+	for _, guarantee := range guarantees {
+		if object, isObject := guarantee.(map[string]any); isObject {
+			delete(object, "shares")
+		}
+	}
+}
+
+func newListsApply(s *session) *cobra.Command {
+	var expected int64
+	var requestID string
+	command := &cobra.Command{
+		Use: "apply FILE", Short: "Replace both lists", Args: exactly(1),
+		Long: "Replace both lists by those of a file. Without --expected the version in force\n" +
+			"is read first. With the same --request-id a resend gets the first answer again.",
+		RunE: func(cmd *cobra.Command, arguments []string) error {
+			file, err := s.readLists(arguments[0])
+			if err != nil {
+				return err
+			}
+			return s.apply(cmd, file, expected, requestID)
+		},
+	}
+	command.Flags().Int64Var(&expected, "expected", -1, "the version that the file replaces")
+	command.Flags().StringVar(&requestID, "request-id", "", "the id of this change, for resends")
+	return command
+}
+
+func (s *session) apply(cmd *cobra.Command, file listFile, expected int64, requestID string) error {
+	if expected < 0 {
+		_, lists, err := s.getLists(cmd, true)
+		if err != nil {
+			return err
+		}
+		expected = int64(lists.Version)
+	}
+	if requestID == "" {
+		requestID = uuid.NewString()
+	}
+	body, err := json.Marshal(applyMessage{RequestID: requestID, Expected: uint64(expected), Plans: file.Plans, Allowances: file.Allowances})
+	if err != nil {
+		return fmt.Errorf("encode lists: %w", err)
+	}
+	answer, err := s.asOperator().Send(cmd.Context(), caller.Message{Method: http.MethodPut, Path: "/v1/lists", Body: body})
+	if errors.Is(err, caller.ErrOutcomeUnknown) {
+		return fmt.Errorf("send again with --request-id %s --expected %d to learn the outcome: %w", requestID, expected, err)
+	}
+	var result applyResult
+	if parseErr := json.Unmarshal(answer, &result); parseErr == nil && result.Winner != "" && !result.Accepted {
+		return fmt.Errorf("version %d is in force, set by %s: %w", result.Version, result.Winner, err)
+	}
+	if err != nil {
+		return err
+	}
+	if s.output == "json" {
+		return s.printJSON(answer)
+	}
+	fmt.Fprintln(s.out, "version "+strconv.FormatUint(result.Version, 10)+" accepted")
+	return nil
+}
--- /dev/null
+++ b/cranberryctl/scenario/scenario_test.go
@@ -0,0 +1,170 @@
+// Package scenario_test runs scripted scenarios of whole processes: the daemon
+// and the command line, over loopback, started and killed by the scripts.
+package scenario_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	ctl "cranberrystack.dev/cranberryctl/command"
+	daemon "cranberrystack.dev/cranberryd/command"
+	"cranberrystack.dev/cranberrystack/faker"
+	"cranberrystack.dev/cranberrystack/identifier"
+	"cranberrystack.dev/cranberrystack/leaser"
+	"cranberrystack.dev/cranberrystack/placer"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"cranberryd":   func() { os.Exit(daemon.Execute(os.Args[1:], os.Stdout, os.Stderr)) },
+		"cranberryctl": func() { os.Exit(ctl.Execute(os.Args[1:], os.Stdin, os.Stdout, os.Stderr)) },
+	})
+}
+
+const instances = 4
+
+// TestScripts runs the scripts under testdata. Each gets free addresses as
+// $ADDR1 to $ADDR4.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                 "testdata",
+		RequireExplicitExec: true,
+		Setup: func(env *testscript.Env) error {
+			for i := range instances {
+				listener, err := net.Listen("tcp", "127.0.0.1:0")
+				if err != nil {
+					return err
+				}
+				env.Setenv(fmt.Sprintf("ADDR%d", i+1), listener.Addr().String())
+				if err := listener.Close(); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"expand":    expand,
+			"ready":     ready,
+			"upstream":  startUpstream,
+			"worker":    startWorker,
+			"announced": announced,
+			"in-force":  inForce,
+		},
+	})
+}
+
+// expand replaces $NAMES in a file by the script's variables.
+func expand(ts *testscript.TestScript, _ bool, arguments []string) {
+	for _, name := range arguments {
+		text := os.Expand(ts.ReadFile(name), ts.Getenv)
+		ts.Check(os.WriteFile(ts.MkAbs(name), []byte(text), 0o600))
+	}
+}
+
+const poll = 20 * time.Millisecond
+
+// ready waits until instances are ready; the test's own timeout bounds it.
+func ready(_ *testscript.TestScript, _ bool, arguments []string) {
+	for _, address := range arguments {
+		for {
+			response, err := http.Get("http://" + address + "/readyz")
+			if err == nil {
+				response.Body.Close()
+				if response.StatusCode == http.StatusOK {
+					break
+				}
+			}
+			time.Sleep(poll)
+		}
+	}
+}
+
+// startUpstream starts a stand-in: upstream ID SLOTS RUNTIME ENTRY...
+func startUpstream(ts *testscript.TestScript, _ bool, arguments []string) {
+	host, err := faker.Loopback("upstream-token-0001", arguments[3:])
+	ts.Check(err)
+	var slots int
+	_, err = fmt.Sscan(arguments[1], &slots)
+	ts.Check(err)
+	took, err := time.ParseDuration(arguments[2])
+	ts.Check(err)
+	u := faker.NewUpstream(identifier.UpstreamID(arguments[0]), slots, host)
+	u.Run = func(_ context.Context, work faker.Work) string {
+		time.Sleep(took)
+		return "done " + work.Body
+	}
+	u.Start()
+	ts.Defer(u.Stop)
+}
+
+// startWorker starts a stand-in: worker ID RACK POSITION TASKTIME ENTRY...
+func startWorker(ts *testscript.TestScript, _ bool, arguments []string) {
+	host, err := faker.Loopback("worker-token-000001", arguments[4:])
+	ts.Check(err)
+	var position int
+	_, err = fmt.Sscan(arguments[2], &position)
+	ts.Check(err)
+	took, err := time.ParseDuration(arguments[3])
+	ts.Check(err)
+	w := faker.NewWorker(placer.Worker{
+		ID: identifier.WorkerID(arguments[0]), Rack: identifier.RackID(arguments[1]),
+		Position: position, Accelerator: "gpu", Accelerators: 8,
+	}, host)
+	w.Task = func(leaser.ID, []byte) faker.TaskResult { return faker.TaskResult{Took: took} }
+	w.Start()
+	ts.Defer(w.Stop)
+}
+
+// announced waits until instances know a number of upstreams: announced COUNT
+// ADDRESS...
+func announced(ts *testscript.TestScript, _ bool, arguments []string) {
+	var count int
+	_, err := fmt.Sscan(arguments[0], &count)
+	ts.Check(err)
+	for _, address := range arguments[1:] {
+		for countUpstreams(ts, address) < count {
+			time.Sleep(poll)
+		}
+	}
+}
+
+func countUpstreams(ts *testscript.TestScript, address string) int {
+	var records []json.RawMessage
+	get(ts, address, "/v1/upstreams", &records)
+	return len(records)
+}
+
+// inForce waits until a version of the lists is in force: in-force VERSION
+// ADDRESS...
+func inForce(ts *testscript.TestScript, _ bool, arguments []string) {
+	var version int
+	_, err := fmt.Sscan(arguments[0], &version)
+	ts.Check(err)
+	for _, address := range arguments[1:] {
+		var lists struct {
+			Version int `json:"version"`
+		}
+		for lists.Version < version {
+			get(ts, address, "/v1/lists", &lists)
+			time.Sleep(poll)
+		}
+	}
+}
+
+func get(ts *testscript.TestScript, address, path string, answer any) {
+	request, err := http.NewRequest(http.MethodGet, "http://"+address+path, nil)
+	ts.Check(err)
+	request.Header.Set("Authorization", "Bearer "+ts.Getenv("CRANBERRY_OPERATOR_TOKEN"))
+	response, err := http.DefaultClient.Do(request)
+	ts.Check(err)
+	defer response.Body.Close()
+	ts.Check(json.NewDecoder(response.Body).Decode(answer))
+}
--- a/cranberryd/control/control.go
+++ b/cranberryd/control/control.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"path/filepath"
-	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -42,8 +41,8 @@
 		Initial: initialVoters(settings), DataCenters: settings.DataCenters,
 	}
 	c, err := controller.Open(config, m, sp, f,
-		replicator.HeartbeatInterval(time.Duration(settings.Control.HeartbeatInterval)),
-		replicator.ElectionTimeout(time.Duration(settings.Control.ElectionTimeout)),
+		replicator.HeartbeatInterval(settings.Control.HeartbeatInterval.Std()),
+		replicator.ElectionTimeout(settings.Control.ElectionTimeout.Std()),
 		replicator.CompactEntries(settings.Control.CompactEntries))
 	if err != nil {
 		return fmt.Errorf("open the control log: %w", err)
--- /dev/null
+++ b/cranberryd/development/development.go
@@ -0,0 +1,233 @@
+// Package development runs the whole system with stand-ins in one process and
+// shows its main job: a request answered, a gang placed, and a guarantee
+// reclaimed from a borrower.
+package development
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"cranberrystack.dev/cranberryd/daemon"
+	"cranberrystack.dev/cranberryd/loader"
+	"cranberrystack.dev/cranberrystack/authenticator"
+	"cranberrystack.dev/cranberrystack/faker"
+	"cranberrystack.dev/cranberrystack/identifier"
+	"cranberrystack.dev/cranberrystack/leaser"
+	"cranberrystack.dev/cranberrystack/placer"
+)
+
+const (
+	dataCenter      = "development"
+	upstreams       = 2
+	workers         = 2
+	slots           = 4
+	accelerators    = 8
+	readyTimeout    = 30 * time.Second
+	pollInterval    = 50 * time.Millisecond
+	gangTime        = 2 * time.Second
+	borrowerTime    = time.Hour
+	checkpointTime  = 200 * time.Millisecond
+	reclaimGrace    = 2 * time.Second
+	answerTimeout   = 30 * time.Second
+	requestRunTime  = 5 * time.Millisecond
+	developerPlan   = "isuku-dispatch"
+	borrowingPlan   = "nieve-dispatch"
+	acceleratorKind = "gpu"
+)
+
+// system is the process with its stand-ins.
+type system struct {
+	settings *loader.Settings
+	daemon   *daemon.Daemon
+	folder   string
+	stops    []func()
+	tokens   tokens
+	out      io.Writer
+}
+
+// tokens are drawn anew for each run.
+type tokens struct {
+	operator, upstream, worker, isuku, nieve string
+}
+
+func newTokens() tokens {
+	return tokens{operator: rand.Text(), upstream: rand.Text(), worker: rand.Text(), isuku: rand.Text(), nieve: rand.Text()}
+}
+
+// Run starts the system and shows its main job. Unless once is set it then
+// serves until the context ends.
+func Run(ctx context.Context, out io.Writer, logger log.Logger, once bool) error {
+	s, err := start(ctx, out, logger)
+	if err != nil {
+		return err
+	}
+	defer s.stop()
+	if err := s.show(ctx); err != nil {
+		return err
+	}
+	if once {
+		return nil
+	}
+	s.describe()
+	<-ctx.Done()
+	return nil
+}
+
+func start(ctx context.Context, out io.Writer, logger log.Logger) (*system, error) {
+	folder, err := os.MkdirTemp("", "cranberryd-develop-")
+	if err != nil {
+		return nil, fmt.Errorf("create data folder: %w", err)
+	}
+	s := &system{folder: folder, tokens: newTokens(), out: out}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	s.settings = s.newSettings(listener.Addr().String())
+	dialer := &net.Dialer{}
+	listen := func(string) (net.Listener, error) { return listener, nil }
+	s.daemon, err = daemon.New(s.settings, daemon.Logger(logger), daemon.Network(listen, dialer.DialContext))
+	if err != nil {
+		return nil, err
+	}
+	if err := s.daemon.Start(ctx); err != nil {
+		return nil, err
+	}
+	s.stops = append(s.stops, func() { _ = s.daemon.Stop(context.Background()) })
+	return s, s.startStandIns()
+}
+
+func (s *system) newSettings(address string) *loader.Settings {
+	settings := loader.Default()
+	settings.Instance, settings.Address = "development-1", address
+	settings.DataCenter, settings.Region = dataCenter, "development"
+	settings.DataCenters = []identifier.DataCenterID{dataCenter}
+	settings.Roles = []string{"control", "entry", "placement"}
+	settings.InitialVoters = []identifier.InstanceID{settings.Instance}
+	settings.DataFolder = s.folder
+	settings.PeerToken = rand.Text()
+	settings.Jobs.Grace = loader.Of(reclaimGrace)
+	settings.Tokens = []loader.Token{
+		{Token: s.tokens.operator, Kind: authenticator.KindOperator, Subject: "operator"},
+		{Token: s.tokens.upstream, Kind: authenticator.KindUpstream, Subject: "dispatch"},
+		{Token: s.tokens.worker, Kind: authenticator.KindWorker, Subject: "workers"},
+		{Token: s.tokens.isuku, Kind: authenticator.KindCaller, Subject: "isuku", Member: "isuku"},
+		{Token: s.tokens.nieve, Kind: authenticator.KindCaller, Subject: "nieve", Member: "nieve"},
+	}
+	return settings
+}
+
+func (s *system) startStandIns() error {
+	entries := []string{s.settings.Address}
+	for i := range upstreams {
+		host, err := faker.Loopback(s.tokens.upstream, entries)
+		if err != nil {
+			return fmt.Errorf("start upstream: %w", err)
+		}
+		u := faker.NewUpstream(identifier.UpstreamID(fmt.Sprintf("upstream-%d", i+1)), slots, host)
+		u.Run = func(ctx context.Context, work faker.Work) string {
+			_ = faker.Sleep(ctx, requestRunTime)
+			return "done: " + work.Body
+		}
+		u.Start()
+		s.stops = append(s.stops, u.Stop)
+	}
+	for i := range workers {
+		host, err := faker.Loopback(s.tokens.worker, entries)
+		if err != nil {
+			return fmt.Errorf("start worker: %w", err)
+		}
+		w := faker.NewWorker(placer.Worker{
+			ID: identifier.WorkerID(fmt.Sprintf("worker-%d", i+1)), Rack: "rack-1", Position: i,
+			Accelerator: acceleratorKind, Accelerators: accelerators,
+		}, host)
+		w.CheckpointTime = checkpointTime
+		w.Task = taskTime
+		w.Start()
+		s.stops = append(s.stops, w.Stop)
+	}
+	return nil
+}
+
+func taskTime(id leaser.ID, _ []byte) faker.TaskResult {
+	if id.Job == "borrower" {
+		return faker.TaskResult{Took: borrowerTime}
+	}
+	return faker.TaskResult{Took: gangTime}
+}
+
+func (s *system) stop() {
+	for i := len(s.stops) - 1; i >= 0; i-- {
+		s.stops[i]()
+	}
+	_ = os.RemoveAll(s.folder)
+}
+
+func (s *system) describe() {
+	fmt.Fprintf(s.out, "serving on %s until interrupted; data folder %s\n", s.settings.Address, s.folder)
+	fmt.Fprintf(s.out, "export CRANBERRY_ADDRESS=%s\n", s.settings.Address)
+	fmt.Fprintf(s.out, "export CRANBERRY_OPERATOR_TOKEN=%s\n", s.tokens.operator)
+	fmt.Fprintf(s.out, "export CRANBERRY_TOKEN=%s   # member isuku, plan %s, team rounds\n", s.tokens.isuku, developerPlan)
+}
+
+// call sends one message to the process over its own interface.
+func (s *system) call(ctx context.Context, method, path, token string, header http.Header, body []byte) (int, []byte, error) {
+	callCtx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(callCtx, method, "http://"+s.settings.Address+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, fmt.Errorf("build message: %w", err)
+	}
+	for name := range header {
+		request.Header.Set(name, header.Get(name))
+	}
+	request.Header.Set("Authorization", "Bearer "+token)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, nil, fmt.Errorf("send message: %w", err)
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, nil, fmt.Errorf("read answer: %w", err)
+	}
+	return response.StatusCode, answer, nil
+}
+
+// wait polls until a condition holds.
+func wait(ctx context.Context, what string, holds func() bool) error {
+	limit := time.Now().Add(readyTimeout)
+	for !holds() {
+		if time.Now().After(limit) || ctx.Err() != nil {
+			return fmt.Errorf("waited for %s: %w", what, context.DeadlineExceeded)
+		}
+		time.Sleep(pollInterval)
+	}
+	return nil
+}
+
+type jobAnswer struct {
+	State      string   `json:"state"`
+	Workers    []string `json:"workers"`
+	Guaranteed bool     `json:"guaranteed"`
+	Reclaims   int      `json:"reclaims"`
+}
+
+func (s *system) job(ctx context.Context, token, id string) jobAnswer {
+	var job jobAnswer
+	_, answer, err := s.call(ctx, http.MethodGet, "/v1/jobs/"+id, token, nil, nil)
+	if err == nil {
+		_ = json.Unmarshal(answer, &job)
+	}
+	return job
+}
--- a/cranberryd/entry/entry.go
+++ b/cranberryd/entry/entry.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"github.com/google/uuid"
 	"go.uber.org/fx"
@@ -42,7 +41,7 @@
 }
 
 func newRegistrar(settings *loader.Settings) *registrar.Registrar {
-	return registrar.New(time.Duration(settings.Requests.UpstreamExpiry))
+	return registrar.New(settings.Requests.UpstreamExpiry.Std())
 }
 
 func newJobClient(settings *loader.Settings, a *announcer.Announcer, m *messenger.Messenger, f *configurer.Follower) *overseer.Client {
@@ -75,7 +74,7 @@
 		},
 	}
 	c := claimer.New(settings.Instance, a.Self().Incarnation, settings.DataCenter, claimPeers(settings), m, seams,
-		claimer.Keep(time.Duration(settings.Requests.KeepAnswers)),
+		claimer.Keep(settings.Requests.KeepAnswers.Std()),
 		claimer.MaxBytes(settings.Requests.ClaimBytes))
 	r.Publish("claims", func() any { return c.Usage() })
 	lifecycle.Append(fx.StartStopHook(c.Start, c.Stop))
--- a/cranberryd/entry/requests.go
+++ b/cranberryd/entry/requests.go
@@ -168,7 +168,7 @@
 }
 
 func (h *requestHandler) readDeadline(c *gin.Context, request *dispatcher.Request) bool {
-	limit := time.Duration(h.settings.Requests.MaxDeadline)
+	limit := h.settings.Requests.MaxDeadline.Std()
 	wait := min(defaultDeadline, limit)
 	if text := c.GetHeader(headerDeadline); text != "" {
 		number, err := strconv.ParseInt(text, 10, 64)
--- a/cranberryd/loader/loader.go
+++ b/cranberryd/loader/loader.go
@@ -25,26 +25,19 @@
 // ErrInvalid reports settings that break a rule.
 var ErrInvalid = eris.New("settings are invalid")
 
-// Duration is a time.Duration written as text, such as "1.5s".
-type Duration time.Duration
+// Duration is a time written as text, such as "1.5s".
+type Duration string
 
-// UnmarshalJSON reads the text form.
-func (d *Duration) UnmarshalJSON(data []byte) error {
-	var text string
-	if err := json.Unmarshal(data, &text); err != nil {
-		return fmt.Errorf("a time is written as text such as \"1.5s\": %w", err)
-	}
-	parsed, err := time.ParseDuration(text)
+// Of returns the text form of a time.
+func Of(wait time.Duration) Duration { return Duration(wait.String()) }
+
+// Std returns the time. Settings that have been checked hold no other text.
+func (d Duration) Std() time.Duration {
+	wait, err := time.ParseDuration(string(d))
 	if err != nil {
-		return fmt.Errorf("read time: %w", err)
+		return 0
 	}
-	*d = Duration(parsed)
-	return nil
-}
-
-// MarshalJSON writes the text form.
-func (d Duration) MarshalJSON() ([]byte, error) {
-	return json.Marshal(time.Duration(d).String())
+	return wait
 }
 
 // Peer is another instance of the system, or this one.
@@ -78,33 +71,33 @@
 type Requests struct {
 	MaxBodyBytes   int64    `json:"max-body-bytes" validate:"min=1,max=67108864"`
 	MaxAnswerBytes int64    `json:"max-answer-bytes" validate:"min=1,max=67108864"`
-	MaxDeadline    Duration `json:"max-deadline" validate:"min=1"`
+	MaxDeadline    Duration `json:"max-deadline" validate:"time"`
 	QueueLength    int      `json:"queue-length" validate:"min=1,max=100000"`
-	KeepAnswers    Duration `json:"keep-answers" validate:"min=1"`
+	KeepAnswers    Duration `json:"keep-answers" validate:"time"`
 	ClaimBytes     int64    `json:"claim-bytes" validate:"min=65536"`
-	UpstreamExpiry Duration `json:"upstream-expiry" validate:"min=1"`
+	UpstreamExpiry Duration `json:"upstream-expiry" validate:"time"`
 }
 
 // Jobs tunes the placement role.
 type Jobs struct {
-	Lease        Duration `json:"lease" validate:"min=1"`
-	LeaseMargin  Duration `json:"lease-margin" validate:"min=1"`
-	Grace        Duration `json:"grace" validate:"min=1"`
-	Silence      Duration `json:"silence" validate:"min=1"`
-	ReserveAfter Duration `json:"reserve-after" validate:"min=1"`
+	Lease        Duration `json:"lease" validate:"time"`
+	LeaseMargin  Duration `json:"lease-margin" validate:"time"`
+	Grace        Duration `json:"grace" validate:"time"`
+	Silence      Duration `json:"silence" validate:"time"`
+	ReserveAfter Duration `json:"reserve-after" validate:"time"`
 }
 
 // Control tunes the control role.
 type Control struct {
-	HeartbeatInterval Duration `json:"heartbeat-interval" validate:"min=1"`
-	ElectionTimeout   Duration `json:"election-timeout" validate:"min=1,gtfield=HeartbeatInterval"`
+	HeartbeatInterval Duration `json:"heartbeat-interval" validate:"time"`
+	ElectionTimeout   Duration `json:"election-timeout" validate:"time"`
 	CompactEntries    int      `json:"compact-entries" validate:"min=10"`
 }
 
 // Membership tunes how instances tell each other apart from failed ones.
 type Membership struct {
-	ProbeInterval  Duration `json:"probe-interval" validate:"min=1"`
-	SuspectTimeout Duration `json:"suspect-timeout" validate:"min=1"`
+	ProbeInterval  Duration `json:"probe-interval" validate:"time"`
+	SuspectTimeout Duration `json:"suspect-timeout" validate:"time"`
 }
 
 // Settings are all that a process has to know.
@@ -209,6 +202,10 @@
 		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
 		return name
 	})
+	isTime := func(field validator.FieldLevel) bool { return Duration(field.Field().String()).Std() > 0 }
+	if err := v.RegisterValidation("time", isTime); err != nil {
+		panic(err)
+	}
 	return v
 }
 
@@ -246,6 +243,13 @@
 	if s.Has("control") && s.DataFolder == "" {
 		return fmt.Errorf("key %q: the control role needs one: %w", "data-folder", ErrInvalid)
 	}
+	if s.Control.ElectionTimeout.Std() <= s.Control.HeartbeatInterval.Std() {
+		return fmt.Errorf("key %q: must be longer than \"control.heartbeat-interval\": %w", "control.election-timeout", ErrInvalid)
+	}
+	return checkPeers(s, known)
+}
+
+func checkPeers(s *Settings, known map[identifier.DataCenterID]bool) error {
 	seen := map[identifier.InstanceID]bool{}
 	for i := range s.Peers {
 		peer := &s.Peers[i]
@@ -293,21 +297,21 @@
 	return &Settings{
 		Requests: Requests{
 			MaxBodyBytes: 1 << 20, MaxAnswerBytes: 1 << 20,
-			MaxDeadline: Duration(10 * time.Minute), QueueLength: 1024,
-			KeepAnswers: Duration(6 * time.Hour), ClaimBytes: 48 << 20,
-			UpstreamExpiry: Duration(5 * time.Second),
+			MaxDeadline: Of(10 * time.Minute), QueueLength: 1024,
+			KeepAnswers: Of(6 * time.Hour), ClaimBytes: 48 << 20,
+			UpstreamExpiry: Of(5 * time.Second),
 		},
 		Jobs: Jobs{
-			Lease: Duration(time.Minute), LeaseMargin: Duration(5 * time.Second),
-			Grace: Duration(30 * time.Second), Silence: Duration(15 * time.Second),
-			ReserveAfter: Duration(30 * time.Second),
+			Lease: Of(time.Minute), LeaseMargin: Of(5 * time.Second),
+			Grace: Of(30 * time.Second), Silence: Of(15 * time.Second),
+			ReserveAfter: Of(30 * time.Second),
 		},
 		Control: Control{
-			HeartbeatInterval: Duration(500 * time.Millisecond),
-			ElectionTimeout:   Duration(2 * time.Second), CompactEntries: 2000,
+			HeartbeatInterval: Of(500 * time.Millisecond),
+			ElectionTimeout:   Of(2 * time.Second), CompactEntries: 2000,
 		},
 		Membership: Membership{
-			ProbeInterval: Duration(time.Second), SuspectTimeout: Duration(3 * time.Second),
+			ProbeInterval: Of(time.Second), SuspectTimeout: Of(3 * time.Second),
 		},
 	}
 }
--- a/cranberryd/membership/membership.go
+++ b/cranberryd/membership/membership.go
@@ -70,8 +70,8 @@
 	self := memberOf(settings.Self())
 	self.Incarnation = identifier.Incarnation(time.Now().UnixNano())
 	return announcer.New(self, seeds, m,
-		announcer.Interval(time.Duration(settings.Membership.ProbeInterval)),
-		announcer.SuspectTimeout(time.Duration(settings.Membership.SuspectTimeout)))
+		announcer.Interval(settings.Membership.ProbeInterval.Std()),
+		announcer.SuspectTimeout(settings.Membership.SuspectTimeout.Std()))
 }
 
 func newSpreader(f *configurer.Follower, a *announcer.Announcer, m *messenger.Messenger) *spreader.Spreader {
--- a/cranberryd/placement/placement.go
+++ b/cranberryd/placement/placement.go
@@ -6,7 +6,6 @@
 	"context"
 	"fmt"
 	"path/filepath"
-	"time"
 
 	"go.uber.org/fx"
 
@@ -43,10 +42,10 @@
 	}
 	jobs := settings.Jobs
 	o, err := overseer.New(parts, overseer.Engine(
-		placer.Lease(time.Duration(jobs.Lease), time.Duration(jobs.LeaseMargin)),
-		placer.Grace(time.Duration(jobs.Grace)),
-		placer.Silence(time.Duration(jobs.Silence)),
-		placer.ReserveAfter(time.Duration(jobs.ReserveAfter))))
+		placer.Lease(jobs.Lease.Std(), jobs.LeaseMargin.Std()),
+		placer.Grace(jobs.Grace.Std()),
+		placer.Silence(jobs.Silence.Std()),
+		placer.ReserveAfter(jobs.ReserveAfter.Std())))
 	if err != nil {
 		return fmt.Errorf("open the jobs: %w", err)
 	}
--- a/faker/worker.go
+++ b/faker/worker.go
@@ -14,6 +14,7 @@
 const (
 	reportPath       = "/v1/workers/report"
 	reportInterval   = 5 * time.Second
+	reportRetry      = time.Second
 	watchInterval    = 200 * time.Millisecond
 	checkpointEvery  = 10 * time.Second
 	maxCommandsBytes = 8 << 20
@@ -48,7 +49,6 @@
 	table    *leaser.Table
 	tasks    map[leaser.ID]*task
 	sequence uint64
-	epochs   identifier.Epoch
 	// started counts how often each job was started here.
 	started map[identifier.JobID]int
 
@@ -127,11 +127,14 @@
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
 	for {
-		w.reportOnce(a)
+		wait := ticker.C
+		if !w.reportOnce(a) {
+			wait = time.After(reportRetry)
+		}
 		select {
 		case <-w.stop:
 			return
-		case <-ticker.C:
+		case <-wait:
 		case <-w.changed:
 		}
 	}
@@ -142,18 +145,20 @@
 	TTL   time.Duration    `json:"ttl-ns"`
 }
 
-func (w *Worker) reportOnce(a *announcing) {
+// reportOnce reports whether the owner of the placement heard the worker.
+func (w *Worker) reportOnce(a *announcing) bool {
 	sent := time.Now()
 	message := w.snapshot(sent)
 	var answer renewal
 	if err := a.send(message, &answer); err != nil {
-		return
+		return false
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if answer.TTL > 0 && w.table.Admit(answer.Epoch) == nil {
 		w.table.Renew(sent.Add(answer.TTL))
 	}
+	return true
 }
 
 func (w *Worker) snapshot(now time.Time) placer.Report {
--- a/overseer/commander.go
+++ b/overseer/commander.go
@@ -23,7 +23,7 @@
 // order in which they were decided.
 type commander struct {
 	messenger *messenger.Messenger
-	answered  func(placer.Report)
+	answered  func(identifier.WorkerID, placer.Report)
 	state     *commanderState
 }
 
@@ -34,7 +34,7 @@
 	sending sync.WaitGroup
 }
 
-func newCommander(m *messenger.Messenger, answered func(placer.Report)) commander {
+func newCommander(m *messenger.Messenger, answered func(identifier.WorkerID, placer.Report)) commander {
 	return commander{messenger: m, answered: answered, state: &commanderState{
 		pending: map[identifier.WorkerID][]placer.Command{}, busy: map[identifier.WorkerID]bool{},
 	}}
@@ -67,18 +67,18 @@
 			return
 		}
 		c.state.mu.Unlock()
-		c.deliver(address, commands)
+		c.deliver(worker, address, commands)
 	}
 }
 
-func (c commander) deliver(address string, commands []placer.Command) {
+func (c commander) deliver(worker identifier.WorkerID, address string, commands []placer.Command) {
 	ctx, cancel := context.WithTimeout(context.Background(), commandTimeout)
 	defer cancel()
 	var report placer.Report
 	if err := c.messenger.Post(ctx, address, commandPath, commandMessage{Commands: commands}, &report); err != nil {
 		return
 	}
-	c.answered(report)
+	c.answered(worker, report)
 }
 
 func (c commander) wait() {
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -2,7 +2,7 @@
 // time owns it, as the replicated log says; the others keep a copy of its jobs
 // and stand ready to follow.
 //
-// Locks are taken in this order: Overseer.mu, then the commit queue's.
+// Locks are taken in this order: Overseer.mu, then the follower's.
 package overseer
 
 import (
@@ -60,9 +60,11 @@
 	// mu guards the fields below. It is never held during I/O.
 	mu sync.Mutex
 	// engine is nil unless this instance owns the placement.
-	engine  *placer.Engine
-	epoch   identifier.Epoch
-	workers map[identifier.WorkerID]string
+	engine *placer.Engine
+	epoch  identifier.Epoch
+	// listsIndex is the index of the view that the engine has.
+	listsIndex uint64
+	workers    map[identifier.WorkerID]string
 	// copies holds what each standby is known to have.
 	copies map[identifier.InstanceID]position
 	queue  []commit
@@ -134,6 +136,7 @@
 	if o.engine == nil {
 		return nil
 	}
+	o.followLists()
 	decision(o.engine)
 	output := o.engine.Take()
 	settled := make(chan struct{})
@@ -149,6 +152,17 @@
 	return settled
 }
 
+// followLists puts the newest lists in force in the engine. The caller holds
+// mu; the follower's lock is taken after it.
+func (o *Overseer) followLists() {
+	if o.parts.Follower.Index() == o.listsIndex {
+		return
+	}
+	view := o.parts.Follower.View()
+	o.engine.SetLists(view)
+	o.listsIndex = view.Index
+}
+
 // commitAll keeps outputs in order: on the own disk, then on a copy, and only
 // then are commands sent and callers answered.
 func (o *Overseer) commitAll() {
@@ -242,9 +256,6 @@
 	if !mine && owner.Epoch > o.epoch {
 		o.engine = nil
 	}
-	if o.engine != nil {
-		o.engine.SetLists(view)
-	}
 	o.mu.Unlock()
 	if begin {
 		o.takeOver(owner.Epoch, view)
@@ -264,7 +275,7 @@
 	engine.SetLists(view)
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.engine, o.epoch = engine, epoch
+	o.engine, o.epoch, o.listsIndex = engine, epoch, view.Index
 	o.copies = map[identifier.InstanceID]position{}
 	o.parts.Recorder.Add("placement.took-over", 1)
 }
@@ -428,8 +439,12 @@
 	TTL time.Duration `json:"ttl-ns"`
 }
 
-func (o *Overseer) workerAnswered(report placer.Report) {
-	_, _ = o.Report(report)
+func (o *Overseer) workerAnswered(worker identifier.WorkerID, report placer.Report) {
+	now := time.Now()
+	o.decide(func(e *placer.Engine) {
+		e.Answer(worker, report, now)
+		e.Tick(now)
+	})
 }
 
 // Status describes the placement here.
--- a/placer/report.go
+++ b/placer/report.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"cranberrystack.dev/cranberrystack/identifier"
 	"cranberrystack.dev/cranberrystack/leaser"
 )
 
@@ -30,6 +31,17 @@
 	return true, nil
 }
 
+// Answer takes a worker's word that came back on a command. The worker's place
+// and holder stay as it announced them.
+func (e *Engine) Answer(worker identifier.WorkerID, report Report, now time.Time) {
+	w, known := e.workers[worker]
+	if !known || report.Worker.Incarnation != w.info.Incarnation {
+		return
+	}
+	report.Worker = w.info
+	_, _ = e.Report(report, now)
+}
+
 func (e *Engine) accept(w *workerState, report Report, now time.Time) (bool, error) {
 	if w.info.Subject != report.Worker.Subject {
 		return false, fmt.Errorf("worker %s is announced by another holder: %w", report.Worker.ID, ErrConflict)
