Requests under faults: each failure by name, over whole processes

Each scenario runs three processes (six over two data centres) on a network in memory in virtual time.

Found, each shown failing first: - an idempotent request that was tried, lost its upstream and then found no other was answered not-run although it had run (now outcome-unknown); - a retry could go back to the upstream it had to avoid, when the only free short slots were there (now any other slot is taken first); - asking a dead upstream about a lost idempotent attempt went on to the deadline (now one question; for keyed ones until connections are refused); - a peer message whose caller had given up kept dialling without a bound.

Conclusion: 'not run' is a claim about all attempts of a request, not the last.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -40,6 +41,10 @@
 	attemptsPath = "/attempts/"
 )
 
+// maxRefused is the number of refused connections after which an upstream's
+// process is held for gone.
+const maxRefused = 3
+
 // Reasons that an upstream gives for not running an attempt.
 const (
 	NotRunBusy    = "busy"
@@ -154,13 +159,32 @@
 	if ctx.Err() != nil {
 		return Answer{}, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 	}
+	if !attempt.NonIdempotent {
+		return c.resolveSoon(ctx, attempt.ID)
+	}
 	return c.Resolve(ctx, attempt.ID)
 }
 
+// resolveSoon asks once what became of an attempt that may as well run again.
+func (c *Connector) resolveSoon(ctx context.Context, id identifier.AttemptID) (Answer, error) {
+	askCtx, cancel := context.WithTimeout(ctx, c.options.acceptTimeout)
+	defer cancel()
+	answer, running, err := c.ask(askCtx, id)
+	switch {
+	case err == nil && running:
+		return c.Resolve(ctx, id)
+	case err == nil, errors.Is(err, ErrNotRun), errors.Is(err, ErrAnswerTooLarge):
+		return answer, err
+	}
+	return Answer{}, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+}
+
 // Resolve asks the upstream what became of an attempt, until it has finished
-// or the context ends. An attempt that the upstream has not seen is fenced by
-// the question: it will never run. Errors are those of Run.
+// or the context ends, or connections are refused: the process that knew is
+// gone then. An attempt that the upstream has not seen is fenced by the
+// question: it will never run. Errors are those of Run.
 func (c *Connector) Resolve(ctx context.Context, id identifier.AttemptID) (Answer, error) {
+	refused := 0
 	for {
 		answer, running, err := c.ask(ctx, id)
 		if err == nil && !running {
@@ -172,6 +196,12 @@
 		if errors.Is(err, errRestarted) {
 			return Answer{}, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			refused++
+		}
+		if refused >= maxRefused {
+			return Answer{}, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+		}
 		select {
 		case <-ctx.Done():
 			return Answer{}, fmt.Errorf("ask about attempt %s: %w", id, ErrOutcomeUnknown)
--- a/cranberryd/cluster/cluster_test.go
+++ b/cranberryd/cluster/cluster_test.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -53,7 +54,7 @@
 	settings func(*loader.Settings)
 	upstream []*faker.Upstream
 	workers  []*faker.Worker
-	clients  int
+	clients  atomic.Int64
 }
 
 // member describes one instance of a cluster.
@@ -153,6 +154,7 @@
 	for id := range c.daemons {
 		c.stop(id)
 	}
+	time.Sleep(time.Minute) // lets stand-in work and timeouts end
 }
 
 func (c *cluster) entriesOf(centre identifier.DataCenterID) []string {
@@ -224,9 +226,9 @@
 func (r reply) code() string { return r.header.Get("Cranberry-Code") }
 
 func (c *cluster) send(to identifier.InstanceID, method, path, token string, header map[string]string, body string) (reply, error) {
-	c.clients++
+	clientID := c.clients.Add(1)
 	client := &http.Client{Transport: &http.Transport{
-		DialContext: c.network.Dial(fmt.Sprintf("client%d", c.clients)), DisableKeepAlives: true,
+		DialContext: c.network.Dial(fmt.Sprintf("client%d", clientID)), DisableKeepAlives: true,
 	}}
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Minute)
 	defer cancel()
--- a/cranberryd/cluster/requests_test.go
+++ b/cranberryd/cluster/requests_test.go
@@ -109,7 +109,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			withCluster(t, trio(), func(t *testing.T, c *cluster) {
 				var first atomic.Value
-				run := func(ctx context.Context, work faker.Work) string {
+				run := func(_ context.Context, work faker.Work) string {
 					if first.CompareAndSwap(nil, string(work.Attempt)) {
 						_ = faker.Sleep(context.Background(), time.Second)
 					}
@@ -121,6 +121,7 @@
 					for _, u := range c.upstream {
 						if u.Runs()["mid"] == 1 {
 							c.network.Kill(string(u.ID))
+							return
 						}
 					}
 				}()
@@ -246,7 +247,7 @@
 }
 
 func TestUpstreamBackWithNewIncarnation(t *testing.T) {
-	withCluster(t, trio(), func(t *testing.T, c *cluster) {
+	withCluster(t, trio(), func(_ *testing.T, c *cluster) {
 		first, second := c.twoUpstreams(nil)
 		first.Stop()
 		second.Stop()
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -377,8 +377,11 @@
 func (d *Dispatcher) run(ctx context.Context, at place, request Request, attempt connector.Attempt) (connector.Answer, error) {
 	started := time.Now()
 	answer, err := at.connector.Run(ctx, attempt)
-	if err == nil {
+	switch {
+	case err == nil:
 		d.learner.Observe(request.Member, request.Kind, time.Since(started))
+	case !at.connector.Available(time.Now()):
+		d.Refresh(time.Now())
 	}
 	return answer, err
 }
--- a/faker/network.go
+++ b/faker/network.go
@@ -291,7 +291,12 @@
 	if deadline.IsZero() || s.err != nil {
 		return
 	}
-	s.timer = time.AfterFunc(time.Until(deadline), func() {
+	wait := time.Until(deadline)
+	if wait <= 0 {
+		s.ready.Broadcast()
+		return
+	}
+	s.timer = time.AfterFunc(wait, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.ready.Broadcast()
--- a/limiter/grant.go
+++ b/limiter/grant.go
@@ -87,9 +87,9 @@
 // unused share may need, since it would not come back soon.
 func (c *Core) fits(plan *planState, ticket *Ticket) bool {
 	if ticket.Class == ClassShort {
-		return c.findSlot(c.freeShort, ticket) >= 0 || c.findSlot(c.free, ticket) >= 0
+		return findSlot(c.freeShort, ticket, false) >= 0 || findSlot(c.free, ticket, false) >= 0
 	}
-	if c.findSlot(c.free, ticket) < 0 || c.long >= c.general {
+	if findSlot(c.free, ticket, false) < 0 || c.long >= c.general {
 		return false
 	}
 	if float64(plan.running) < plan.share*float64(c.total) {
@@ -109,31 +109,35 @@
 	return int(unused)
 }
 
-// findSlot returns the place of a free slot that the ticket may use, or -1.
-func (c *Core) findSlot(free []*slotState, ticket *Ticket) int {
-	fallback := -1
+// findSlot returns the place of a free slot that the ticket may use, or -1. A
+// slot of the upstream to avoid is taken only if it may not be spared.
+func findSlot(free []*slotState, ticket *Ticket, spare bool) int {
 	for i := len(free) - 1; i >= 0; i-- {
 		slot := &free[i].slot
 		if slot.Member != "" && slot.Member != ticket.Member {
 			continue
 		}
-		if slot.Upstream != ticket.Avoid {
+		if !spare || slot.Upstream != ticket.Avoid {
 			return i
 		}
-		fallback = i
 	}
-	return fallback
+	return -1
 }
 
 // takeSlot removes a slot from the free ones. Short work leaves general slots
 // to long work while it can.
 func (c *Core) takeSlot(ticket *Ticket) *slotState {
-	if ticket.Class == ClassShort {
-		if i := c.findSlot(c.freeShort, ticket); i >= 0 {
-			return remove(&c.freeShort, i)
+	for _, spare := range []bool{true, false} {
+		if ticket.Class == ClassShort {
+			if i := findSlot(c.freeShort, ticket, spare); i >= 0 {
+				return remove(&c.freeShort, i)
+			}
+		}
+		if i := findSlot(c.free, ticket, spare); i >= 0 {
+			return remove(&c.free, i)
 		}
 	}
-	return remove(&c.free, c.findSlot(c.free, ticket))
+	return nil
 }
 
 func remove(free *[]*slotState, i int) *slotState {
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -19,7 +19,11 @@
 // MaxMessageBytes bounds one message in either direction.
 const MaxMessageBytes = 64 << 20
 
-const idleTimeout = 90 * time.Second
+const (
+	idleTimeout = 90 * time.Second
+	// dialTimeout bounds a dial even when nobody waits for it any more.
+	dialTimeout = 2 * time.Second
+)
 
 // ErrUnreachable reports that no answer came back. The message may or may not
 // have been handled.
@@ -68,7 +72,9 @@
 		DisableCompression:  true,
 	}
 	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dial(ctx, network, address)
+		dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		conn, err := dial(dialCtx, network, address)
 		if err != nil {
 			return nil, err
 		}
