--- a/cranberryd/cluster/cluster_test.go
+++ b/cranberryd/cluster/cluster_test.go
@@ -230,7 +230,7 @@
 	client := &http.Client{Transport: &http.Transport{
 		DialContext: c.network.Dial(fmt.Sprintf("client%d", clientID)), DisableKeepAlives: true,
 	}}
-	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Minute)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+string(to)+":7000"+path, bytes.NewReader([]byte(body)))
 	if err != nil {
--- a/cranberryd/cluster/requests_test.go
+++ b/cranberryd/cluster/requests_test.go
@@ -550,3 +550,26 @@
 		}
 	})
 }
+
+// TestUpstreamRestartsMidRequest restarts an upstream at the same address
+// while it runs a keyed request. The new process knows nothing of the attempt,
+// which says nothing about whether it ran.
+func TestUpstreamRestartsMidRequest(t *testing.T) {
+	withCluster(t, trio(), func(t *testing.T, c *cluster) {
+		first := c.addUpstream("u1", 4, "dc1")
+		first.Run = takes(time.Second)
+		c.prepare()
+		go func() {
+			c.waitFor("request runs", time.Minute, func() bool { return c.runsOf("restart") == 1 })
+			c.network.Kill("u1")
+			second := c.addUpstream("u1", 4, "dc1")
+			second.Start()
+		}()
+		for _, id := range []identifier.InstanceID{"a", "b"} {
+			answer := c.post(id, isukuRequest("dc1:restart"), "restart")
+			if answer.code() != "outcome-unknown" || c.runsOf("restart") != 1 {
+				t.Errorf("at %s: got %d %s, ran %d times, want outcome-unknown and 1", id, answer.status, answer.body, c.runsOf("restart"))
+			}
+		}
+	})
+}
--- a/faker/network.go
+++ b/faker/network.go
@@ -16,6 +16,9 @@
 	"github.com/rotisserie/eris"
 )
 
+// connectTimeout is when a dial to a host that can't be reached fails.
+const connectTimeout = 20 * time.Second
+
 // Network connects hosts in memory. The host of an address is its part before
 // the colon. It is safe for concurrent use.
 type Network struct {
@@ -63,8 +66,13 @@
 	blocked := n.cut(from, to) || n.cut(to, from)
 	n.mu.Unlock()
 	if blocked {
-		<-ctx.Done()
-		return nil, &net.OpError{Op: "dial", Net: "tcp", Addr: addr(address), Err: ctx.Err()}
+		timer := time.NewTimer(connectTimeout)
+		defer timer.Stop()
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Addr: addr(address), Err: os.ErrDeadlineExceeded}
 	}
 	if !open {
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Addr: addr(address), Err: syscall.ECONNREFUSED}
