--- a/cranberrybench/main.go
+++ b/cranberrybench/main.go
@@ -1,4 +1,12 @@
 // Command cranberrybench measures cranberrystack against plain baselines.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"cranberrystack.dev/cranberrybench/command"
+)
+
+func main() {
+	os.Exit(command.Execute(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/cranberrybench/reporter/reporter.go
@@ -0,0 +1,74 @@
+// Package reporter prints measurements as tables for people and as JSON for
+// programs.
+package reporter
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+)
+
+// Row is one measured figure of one or more systems side by side.
+type Row struct {
+	Figure string `json:"figure"`
+	// Values hold one figure for each column of the report.
+	Values []float64 `json:"values"`
+	Unit   string    `json:"unit"`
+	// Goal says what is aimed at; empty if nothing is.
+	Goal string `json:"goal,omitempty"`
+}
+
+// Report is a table of measurements from one run.
+type Report struct {
+	Title   string   `json:"title"`
+	Seed    uint64   `json:"seed"`
+	Columns []string `json:"columns"`
+	Rows    []Row    `json:"rows"`
+}
+
+// Add adds a row.
+func (r *Report) Add(figure, unit, goal string, values ...float64) {
+	r.Rows = append(r.Rows, Row{Figure: figure, Unit: unit, Goal: goal, Values: values})
+}
+
+// Print writes the report as a table, or as JSON.
+func (r *Report) Print(out io.Writer, asJSON bool) error {
+	if asJSON {
+		encoder := json.NewEncoder(out)
+		encoder.SetIndent("", "  ")
+		if err := encoder.Encode(r); err != nil {
+			return fmt.Errorf("print report: %w", err)
+		}
+		return nil
+	}
+	fmt.Fprintf(out, "%s (seed %d)\n", r.Title, r.Seed)
+	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(w, "figure\t"+strings.Join(r.Columns, "\t")+"\tunit\tgoal")
+	for _, row := range r.Rows {
+		cells := []string{row.Figure}
+		for i := range r.Columns {
+			if i < len(row.Values) {
+				cells = append(cells, number(row.Values[i]))
+				continue
+			}
+			cells = append(cells, "-")
+		}
+		fmt.Fprintln(w, strings.Join(append(cells, row.Unit, row.Goal), "\t"))
+	}
+	if err := w.Flush(); err != nil {
+		return fmt.Errorf("print report: %w", err)
+	}
+	return nil
+}
+
+func number(value float64) string {
+	switch {
+	case value >= 1000 || value == float64(int64(value)):
+		return fmt.Sprintf("%.0f", value)
+	case value >= 10:
+		return fmt.Sprintf("%.1f", value)
+	}
+	return fmt.Sprintf("%.3f", value)
+}
--- /dev/null
+++ b/cranberrybench/requestmeter/load.go
@@ -0,0 +1,184 @@
+package requestmeter
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+type member struct {
+	token, plan, team string
+}
+
+var (
+	isuku = member{"isuku-token-0000001", "isuku-plan", "rounds"}
+	nieve = member{"nieve-token-0000001", "nieve-plan", "routes"}
+)
+
+// stream is an open loop of requests of one kind.
+type stream struct {
+	member    member
+	kind      string
+	weight    float64
+	perSecond float64
+	deadline  time.Duration
+}
+
+// result counts what came back, by kind.
+type result struct {
+	mu       sync.Mutex
+	offered  map[string]int
+	answered map[string]int
+	took     map[string][]time.Duration
+}
+
+func (r *result) p99(kind string) time.Duration {
+	took := r.took[kind]
+	sort.Slice(took, func(i, j int) bool { return took[i] < took[j] })
+	if len(took) == 0 {
+		return 0
+	}
+	return took[len(took)*99/100]
+}
+
+// load sends requests to a system.
+type load struct {
+	targets         []string
+	upstreamAddress string
+	client          *http.Client
+	seed            uint64
+}
+
+func newLoad(targets []string, seed uint64) *load {
+	dialer := &net.Dialer{}
+	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 512, MaxIdleConns: 4096}
+	return &load{targets: targets, seed: seed, client: &http.Client{Transport: transport}, upstreamAddress: targets[len(targets)-1]}
+}
+
+func (l *load) close() {
+	l.client.CloseIdleConnections()
+}
+
+// warm lets the system learn the run times of all kinds.
+func (l *load) warm() {
+	l.run(3*time.Second, []stream{
+		{member: isuku, kind: "photo", weight: 3, perSecond: 100, deadline: deadline},
+		{member: isuku, kind: "match", weight: 1, perSecond: 100, deadline: deadline},
+		{member: nieve, kind: "load", weight: 3, perSecond: 100, deadline: deadline},
+		{member: nieve, kind: "route", weight: 1, perSecond: 100, deadline: deadline},
+		{member: nieve, kind: "survey", weight: 1, perSecond: 2, deadline: 30 * time.Second},
+	})
+}
+
+// run plays streams and waits for all answers.
+func (l *load) run(length time.Duration, streams []stream) *result {
+	r := &result{offered: map[string]int{}, answered: map[string]int{}, took: map[string][]time.Duration{}}
+	var running sync.WaitGroup
+	for i, s := range streams {
+		random := rand.New(rand.NewPCG(l.seed, uint64(i)))
+		running.Go(func() {
+			next := time.Now()
+			end := next.Add(length)
+			for {
+				next = next.Add(time.Duration(random.ExpFloat64() / s.perSecond * float64(time.Second)))
+				if next.After(end) {
+					return
+				}
+				time.Sleep(time.Until(next))
+				target := l.targets[random.IntN(len(l.targets)-1)]
+				running.Go(func() { l.one(r, s, target) })
+			}
+		})
+	}
+	running.Wait()
+	return r
+}
+
+func (l *load) one(r *result, s stream, target string) {
+	began := time.Now()
+	ok := l.send(target, s)
+	took := time.Since(began)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.offered[s.kind]++
+	if ok && took <= s.deadline {
+		r.answered[s.kind]++
+		r.took[s.kind] = append(r.took[s.kind], took)
+	}
+}
+
+// send reports whether the right answer came back.
+func (l *load) send(target string, s stream) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), s.deadline+time.Second)
+	defer cancel()
+	body := s.kind + " body"
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target+"/v1/requests", strings.NewReader(body))
+	if err != nil {
+		return false
+	}
+	request.Header.Set("Authorization", "Bearer "+s.member.token)
+	request.Header.Set("Cranberry-Plan", s.member.plan)
+	request.Header.Set("Cranberry-Team", s.member.team)
+	request.Header.Set("Cranberry-Kind", s.kind)
+	request.Header.Set("Cranberry-Deadline-Ms", strconv.FormatInt(s.deadline.Milliseconds(), 10))
+	response, err := l.client.Do(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	return err == nil && response.StatusCode == http.StatusOK && string(answer) == "done "+body
+}
+
+var instant = stream{member: isuku, kind: "instant", weight: 1, deadline: 10 * time.Second}
+
+// median sends requests one after the other, through the system or, if a
+// target is given, straight to it.
+func (l *load) median(target string, count int) time.Duration {
+	var took []time.Duration
+	for i := range count {
+		to := target
+		if to == "" {
+			to = l.targets[i%(len(l.targets)-1)]
+		}
+		began := time.Now()
+		if l.send(to, instant) {
+			took = append(took, time.Since(began))
+		}
+	}
+	sort.Slice(took, func(i, j int) bool { return took[i] < took[j] })
+	if len(took) == 0 {
+		return 0
+	}
+	return took[len(took)/2]
+}
+
+// closedLoop sends as fast as so many callers can and returns the answers.
+func (l *load) closedLoop(callers int, length time.Duration) int {
+	var mu sync.Mutex
+	total := 0
+	var running sync.WaitGroup
+	end := time.Now().Add(length)
+	for caller := range callers {
+		running.Go(func() {
+			done := 0
+			for time.Now().Before(end) {
+				if l.send(l.targets[caller%(len(l.targets)-1)], instant) {
+					done++
+				}
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			total += done
+		})
+	}
+	running.Wait()
+	return total
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -166,6 +166,9 @@
 	d.limits.SetShares(shares)
 	d.limits.SetSlots(router.Own(d.self, entries, usable), now)
 	d.limits.Tick(now)
+	for _, ticket := range d.limits.TakeOverdue() {
+		d.learner.Overdue(ticket.Member, ticket.Kind, ticket.Elapsed(now))
+	}
 }
 
 // connectorFor returns the upstream's connector, a new one if it has restarted.
--- a/faker/upstream.go
+++ b/faker/upstream.go
@@ -51,9 +51,13 @@
 	// Tamper changes an answer on its way out; it may close the connection.
 	Tamper func(w http.ResponseWriter, work Work, body string) bool
 
+	// Queue makes work over the slots wait in place of being refused.
+	Queue bool
+
 	host        Host
 	incarnation identifier.Incarnation
 	server      *http.Server
+	queue       chan struct{}
 
 	mu       sync.Mutex
 	attempts map[identifier.AttemptID]*attempt
@@ -88,6 +92,7 @@
 
 // Start serves and announces.
 func (u *Upstream) Start() {
+	u.queue = make(chan struct{}, u.Slots)
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /run", u.handleRun)
 	mux.HandleFunc("GET /attempts/{id}", u.handleAttempt)
@@ -114,6 +119,11 @@
 // Address returns where the upstream listens.
 func (u *Upstream) Address() string { return u.host.address() }
 
+// IncarnationText returns the incarnation as the protocol writes it.
+func (u *Upstream) IncarnationText() string {
+	return strconv.FormatUint(uint64(u.incarnation), 10)
+}
+
 // Runs returns how often each request body was run.
 func (u *Upstream) Runs() map[string]int {
 	u.mu.Lock()
@@ -190,13 +200,13 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	switch {
-	case incarnation != strconv.FormatUint(uint64(u.incarnation), 10):
+	case incarnation != u.IncarnationText():
 		return nil, connector.NotRunRestarted
 	case u.attempts[work.Attempt] != nil:
 		return nil, "repeated"
 	case u.leaving:
 		return nil, connector.NotRunLeaving
-	case u.running >= u.Slots:
+	case u.running >= u.Slots && !u.Queue:
 		return nil, connector.NotRunBusy
 	}
 	u.forgetOld(time.Now())
@@ -220,6 +230,10 @@
 }
 
 func (u *Upstream) work(ctx context.Context, own *attempt, work Work) {
+	if u.Queue {
+		u.queue <- struct{}{}
+		defer func() { <-u.queue }()
+	}
 	body := u.Run(ctx, work)
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -245,7 +259,7 @@
 
 func (u *Upstream) header(w http.ResponseWriter, id identifier.AttemptID) {
 	w.Header().Set(connector.HeaderAttempt, string(id))
-	w.Header().Set(connector.HeaderIncarnation, strconv.FormatUint(uint64(u.incarnation), 10))
+	w.Header().Set(connector.HeaderIncarnation, u.IncarnationText())
 }
 
 func (u *Upstream) reply(w http.ResponseWriter, id identifier.AttemptID, status int, body string) {
--- a/limiter/grant.go
+++ b/limiter/grant.go
@@ -14,6 +14,10 @@
 			return
 		}
 		c.unqueue(ticket)
+		if !ticket.inTime(0, now) {
+			c.refuse(ticket, Outcome{Err: ErrOverloaded, RetryAfter: c.options.minRetryAfter})
+			continue
+		}
 		c.start(ticket, c.takeSlot(ticket), now)
 	}
 }
--- a/limiter/learner.go
+++ b/limiter/learner.go
@@ -14,7 +14,9 @@
 	learnRate = 0.05
 	// firstGuess is the expected run time of a kind declared as short.
 	firstGuess = 20 * time.Millisecond
-	maxKinds   = 4096
+	// mostlyOverdue is the part of overdue requests that makes a kind long.
+	mostlyOverdue = 0.5
+	maxKinds      = 4096
 )
 
 type kindKey struct {
@@ -25,6 +27,9 @@
 type measured struct {
 	mean  float64
 	count int
+	// overdue is the part of lately judged requests that ran far too long.
+	overdue float64
+	judged  int
 }
 
 // Learner estimates the run time of each member's kinds of request from what
@@ -44,18 +49,53 @@
 func (l *Learner) Observe(member identifier.MemberID, kind string, took time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	key := kindKey{member, kind}
-	known, found := l.kinds[key]
+	known, found := l.find(member, kind)
 	if !found {
-		if len(l.kinds) >= maxKinds {
-			return
-		}
-		known = &measured{}
-		l.kinds[key] = known
+		return
 	}
 	known.count++
 	rate := max(learnRate, 1/float64(known.count))
 	known.mean += rate * (float64(took) - known.mean)
+	if took < DefaultOverdueFloor {
+		known.judge(0)
+	}
+}
+
+// Overdue takes note of a request that is still running far beyond what was
+// expected of its kind, so that more of the kind are not taken for short until
+// the first has ended.
+func (l *Learner) Overdue(member identifier.MemberID, kind string, elapsed time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known, found := l.find(member, kind)
+	if !found {
+		return
+	}
+	if known.count == 0 {
+		known.mean = max(known.mean, float64(elapsed))
+	}
+	known.judge(1)
+}
+
+func (m *measured) judge(overdue float64) {
+	m.judged++
+	rate := max(learnRate, 1/float64(m.judged))
+	m.overdue += rate * (overdue - m.overdue)
+}
+
+// find returns what is known of a kind; the caller holds mu.
+func (l *Learner) find(member identifier.MemberID, kind string) (*measured, bool) {
+	key := kindKey{member, kind}
+	known, found := l.kinds[key]
+	if found {
+		return known, true
+	}
+	if len(l.kinds) >= maxKinds {
+		return nil, false
+	}
+	known = &measured{}
+	l.kinds[key] = known
+	return known, true
 }
 
 // Judge returns the class and the expected run time of a kind. The declared
@@ -64,17 +104,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known, found := l.kinds[kindKey{member, kind}]
-	if !found {
-		if declared == ClassLong {
-			return ClassLong, longThreshold
-		}
+	switch {
+	case !found && declared == ClassLong:
+		return ClassLong, longThreshold
+	case !found:
 		return ClassShort, firstGuess
 	}
 	mean := time.Duration(known.mean)
-	if mean >= longThreshold {
-		return ClassLong, mean
-	}
-	if declared == ClassLong {
+	if declared == ClassLong || mean >= longThreshold || known.overdue > mostlyOverdue {
 		return ClassLong, mean
 	}
 	return ClassShort, mean
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -144,6 +144,8 @@
 	long    int
 	waiting int
 	next    int
+	// newlyOverdue collects tickets for TakeOverdue.
+	newlyOverdue []*Ticket
 }
 
 // NewCore returns a core without slots.
@@ -238,7 +240,7 @@
 // Offer takes a ticket and grants, queues or refuses it.
 func (c *Core) Offer(ticket *Ticket, now time.Time) {
 	ticket.queued = now
-	if !now.Add(ticket.Expected).Before(ticket.Deadline) {
+	if !ticket.inTime(0, now) {
 		c.refuse(ticket, Outcome{Err: ErrExpired})
 		return
 	}
@@ -249,8 +251,7 @@
 	plan := c.plan(ticket.Plan)
 	wait := c.expectedWait(plan, ticket)
 	full := plan.waiting >= c.options.queueLength || c.waiting >= c.options.totalQueueLength
-	late := now.Add(wait + ticket.Expected).After(ticket.Deadline)
-	if full || late {
+	if full || !ticket.inTime(wait, now) {
 		c.refuse(ticket, Outcome{Err: ErrOverloaded, RetryAfter: max(wait, c.options.minRetryAfter)})
 		return
 	}
@@ -363,7 +364,7 @@
 func (c *Core) expire(plan *planState, q *queue, now time.Time) {
 	kept := q.tickets[:0]
 	for _, ticket := range q.tickets {
-		if now.Add(ticket.Expected).Before(ticket.Deadline) {
+		if ticket.inTime(0, now) {
 			kept = append(kept, ticket)
 			continue
 		}
@@ -386,6 +387,28 @@
 	ticket.overdue = true
 	c.plan(ticket.Plan).long++
 	c.long++
+	c.newlyOverdue = append(c.newlyOverdue, ticket)
+}
+
+// TakeOverdue returns the tickets that have become overdue since the last
+// call.
+func (c *Core) TakeOverdue() []*Ticket {
+	overdue := c.newlyOverdue
+	c.newlyOverdue = nil
+	return overdue
+}
+
+// Elapsed returns how long a granted ticket has run.
+func (t *Ticket) Elapsed(now time.Time) time.Duration {
+	return now.Sub(t.started)
+}
+
+// inTime reports whether an answer can come back before the deadline if the
+// ticket starts after a wait. Some of the time is kept back, since work that
+// ends just late has used its slot for nothing.
+func (t *Ticket) inTime(wait time.Duration, now time.Time) bool {
+	margin := min(t.Expected/marginDivisor+marginFloor, maxMargin)
+	return now.Add(wait + t.Expected + margin).Before(t.Deadline)
 }
 
 // Load describes the present use.
--- a/limiter/options.go
+++ b/limiter/options.go
@@ -20,6 +20,14 @@
 	DefaultNoUpstreamWait = time.Second
 )
 
+const (
+	// marginDivisor gives the part of the expected run time that is kept back
+	// before a deadline, marginFloor the least and maxMargin the most.
+	marginDivisor = 8
+	marginFloor   = 4 * time.Millisecond
+	maxMargin     = time.Second
+)
+
 type options struct {
 	queueLength      int
 	totalQueueLength int
--- a/packer/packer.go
+++ b/packer/packer.go
@@ -45,6 +45,8 @@
 	Free int
 	// Total is the number of accelerators that the worker has.
 	Total int
+	// Closed workers take nothing, whatever becomes free on them.
+	Closed bool
 }
 
 // Piece is a number of parts on one worker, by its index in the list.
--- a/placer/engine.go
+++ b/placer/engine.go
@@ -19,7 +19,7 @@
 	sequence uint64
 	// used counts the accelerators held by pieces.
 	used int
-	// guaranteed counts those of them held by guaranteed jobs.
+	// guaranteed counts the accelerators in the places of guaranteed jobs.
 	guaranteed int
 	// jobs are those with pieces here that hold accelerators.
 	jobs *jobSet
@@ -55,6 +55,9 @@
 
 	attempt uint64
 	touched bool
+	// nextLook is when jobs are looked at even if nothing has changed: workers
+	// that were set aside come back by time alone.
+	nextLook time.Time
 	// forgot is when ended jobs were last forgotten.
 	forgot time.Time
 	dirty  []*Job
@@ -99,6 +102,7 @@
 	job.adopting = true
 	job.Pieces = append([]Piece(nil), job.Pieces...)
 	for i := range job.Pieces {
+		job.Pieces[i].heard = false
 		if job.Pieces[i].holds() {
 			job.Pieces[i].held = now.Add(e.options.lease + e.options.leaseMargin)
 		}
@@ -279,12 +283,14 @@
 	for i := range job.Pieces {
 		e.release(job, &job.Pieces[i], PieceReleased)
 	}
+	e.clearPlace(job)
 	if len(job.Pieces) > 0 {
 		e.usage.add(job, -1)
 	}
 }
 
-// release ends a piece's hold on its worker.
+// release ends a piece's hold on its worker. That has to be kept before the
+// space is given to another job, so that no later owner books both.
 func (e *Engine) release(job *Job, piece *Piece, state PieceState) {
 	held := piece.holds()
 	piece.State = state
@@ -292,15 +298,13 @@
 		return
 	}
 	e.touched = true
+	e.mark(job)
 	w, known := e.workers[piece.Worker]
 	if !known {
 		return
 	}
 	if w.jobs.remove(job.Spec.ID) {
 		w.used -= piece.Parts * job.Spec.Shape.PerPart
-		if job.Guaranteed {
-			w.guaranteed -= piece.Parts * job.Spec.Shape.PerPart
-		}
 	}
 }
 
@@ -315,23 +319,29 @@
 	}
 	w.jobs.add(job)
 	w.used += piece.Parts * job.Spec.Shape.PerPart
-	if job.Guaranteed {
-		w.guaranteed += piece.Parts * job.Spec.Shape.PerPart
-	}
 }
 
-func (e *Engine) setGuaranteed(job *Job, unit Unit) {
-	job.Guaranteed = true
-	job.Unit = unit
+// setGuaranteed books the place of a whole guaranteed shape for a job.
+func (e *Engine) setGuaranteed(job *Job, unit Unit, place []packer.Piece) {
+	order := e.order[job.Spec.Accelerator]
+	job.Guaranteed, job.Unit, job.Place = true, unit, nil
+	for _, piece := range place {
+		site := Site{Worker: order[piece.Slot].info.ID, Accelerators: piece.Parts * unit.Shape.PerPart}
+		job.Place = append(job.Place, site)
+		order[piece.Slot].guaranteed += site.Accelerators
+	}
 	e.usage.units[unit]++
-	for i := range job.Pieces {
-		if w, known := e.workers[job.Pieces[i].Worker]; known && job.Pieces[i].holds() {
-			if _, here := w.jobs.get(job.Spec.ID); here {
-				w.guaranteed += job.Pieces[i].Parts * job.Spec.Shape.PerPart
-			}
+	e.mark(job)
+}
+
+// clearPlace gives a guaranteed job's place back.
+func (e *Engine) clearPlace(job *Job) {
+	for _, site := range job.Place {
+		if w, known := e.workers[site.Worker]; known {
+			w.guaranteed -= site.Accelerators
 		}
 	}
-	e.mark(job)
+	job.Place = nil
 }
 
 // stop tells all workers to stop a job's pieces; next follows when they have
--- a/placer/guarantee.go
+++ b/placer/guarantee.go
@@ -194,10 +194,10 @@
 }
 
 // keepsGuarantees reports whether every unused guarantee still has a place of
-// its own beside the guaranteed jobs, were the given pieces taken for a unit.
-func (e *Engine) keepsGuarantees(accelerator string, pieces []packer.Piece, shape packer.Shape, unit Unit) bool {
+// its own beside the places in use, were the given one taken for a unit.
+func (e *Engine) keepsGuarantees(accelerator string, place []packer.Piece, unit Unit) bool {
 	slots := e.claimableSlots(accelerator)
-	packer.Take(slots, pieces, shape)
+	packer.Take(slots, place, unit.Shape)
 	for i := range slots {
 		if slots[i].Free < 0 {
 			return false
--- a/placer/guard.go
+++ b/placer/guard.go
@@ -64,11 +64,14 @@
 	if !contains(job.FailedOn, worker) {
 		job.FailedOn = append(job.FailedOn, worker)
 	}
-	if e.failedOnGoodWorkers(job, now) >= workersToGiveUp {
+	w, known := e.workers[worker]
+	if !known || !now.Before(w.quarantined) {
+		job.Failures++
+	}
+	if e.failedOnGoodWorkers(job, now) >= workersToGiveUp || job.Failures >= failuresToGiveUp {
 		e.pardon(job, now)
 		return true
 	}
-	w, known := e.workers[worker]
 	if !known {
 		return false
 	}
--- a/placer/options.go
+++ b/placer/options.go
@@ -31,12 +31,17 @@
 	// workersToGiveUp is the number of different workers that a job fails on
 	// before it is given up.
 	workersToGiveUp = 3
-	quarantineTime  = 10 * time.Minute
+	// failuresToGiveUp bounds the failures of a job that has few workers to
+	// run on.
+	failuresToGiveUp = 6
+	quarantineTime   = 10 * time.Minute
 	// stragglerFactor is the multiple of the learnt run time from which a job
 	// is told as a straggler.
 	stragglerFactor = 5
 	// usageTolerance is the part of a declared size that may be exceeded.
 	usageTolerance = 0.1
+	// lookInterval is the longest time between two looks at waiting jobs.
+	lookInterval = 2 * time.Second
 	// stopRetry is the time between two stops sent to a worker.
 	stopRetry = 2 * time.Second
 	// reclaimSlack is the time beyond the grace after which other victims are
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -98,6 +98,10 @@
 	Progress time.Duration `json:"progress-ns"`
 	// held is until when the worker may still run the piece.
 	held time.Time
+	// asked is when the lease was asked for.
+	asked time.Time
+	// heard is set once this owner has a report of the piece.
+	heard bool
 }
 
 // holds reports whether the piece's accelerators are taken.
@@ -105,6 +109,12 @@
 	return p.State != PieceFinished && p.State != PieceReleased
 }
 
+// Site is a number of accelerators on one worker.
+type Site struct {
+	Worker       identifier.WorkerID `json:"worker"`
+	Accelerators int                 `json:"accelerators"`
+}
+
 // Unit names a guarantee by what it guarantees.
 type Unit struct {
 	Plan        identifier.PlanID `json:"plan"`
@@ -126,6 +136,10 @@
 	Guaranteed bool `json:"guaranteed,omitempty"`
 	// Unit is the guarantee that a guaranteed job uses.
 	Unit Unit `json:"unit,omitzero"`
+	// Place is where the whole guaranteed shape lies while the guarantee is in
+	// use. It holds all pieces, and no other guaranteed job's place overlaps
+	// it, so that the shape is whole again when the job ends.
+	Place []Site `json:"place,omitempty"`
 	// Progress is the work that the last whole checkpoint holds.
 	Progress  time.Duration `json:"progress-ns"`
 	Submitted time.Time     `json:"submitted"`
@@ -133,6 +147,8 @@
 	Ended     time.Time     `json:"ended,omitzero"`
 	// FailedOn lists the workers that were blamed for failures.
 	FailedOn []identifier.WorkerID `json:"failed-on,omitempty"`
+	// Failures counts the failures on workers that are not set aside.
+	Failures int `json:"failures,omitempty"`
 	// Reason says why the job ended or was last put back.
 	Reason string `json:"reason,omitempty"`
 	// Reclaims counts how often borrowed space was taken back from the job.
--- a/placer/reclaim.go
+++ b/placer/reclaim.go
@@ -17,17 +17,18 @@
 // reclaim has borrowers put out so that a guaranteed job gets its shape. It
 // takes the place whose borrowers lose the least work.
 func (e *Engine) reclaim(job *Job, unit Unit, now time.Time) bool {
-	pieces, victims, found := e.cheapestPlace(job, unit, now)
-	if !found {
+	found, ok := e.cheapestPlace(job, unit, now)
+	if !ok {
 		return false
 	}
 	grace := e.options.grace
 	if job.Spec.Urgent {
 		grace = min(grace, e.options.urgentGrace)
 	}
-	until := now.Add(grace + reclaimSlack)
-	e.holds[job.Spec.ID] = e.newHold(job, pieces, until, true)
-	for _, borrower := range victims {
+	h := e.newHold(job, found.pieces, now.Add(grace+reclaimSlack), true)
+	h.unit, h.place = unit, found.place
+	e.holds[job.Spec.ID] = h
+	for _, borrower := range found.victims {
 		borrower.Reclaims++
 		borrower.Reason = "space reclaimed for a guarantee of plan " + string(job.Spec.Plan)
 		given := grace
@@ -39,25 +40,42 @@
 	return true
 }
 
-// cheapestPlace tries the place that the shape takes when only guaranteed jobs
-// stand in the way, and then places made by putting out borrowers from the
-// cheapest on, and returns the one with the least lost work.
-func (e *Engine) cheapestPlace(job *Job, unit Unit, now time.Time) ([]packer.Piece, []*Job, bool) {
+// reclaimable is a place for a guaranteed shape, the job's pieces within it,
+// and the borrowers that are in the way of the pieces.
+type reclaimable struct {
+	place, pieces []packer.Piece
+	victims       []*Job
+}
+
+// cheapestPlace puts borrowers out in thought, from the cheapest on, until the
+// guaranteed shape has a place beside all other guarantees.
+func (e *Engine) cheapestPlace(job *Job, unit Unit, now time.Time) (reclaimable, bool) {
 	accelerator := job.Spec.Accelerator
 	candidates := e.borrowersByCost(accelerator, now)
 	slots := e.freeSlots(accelerator, job, now)
 	index := e.slotIndex(accelerator)
-	count := sort.Search(len(candidates)+1, func(count int) bool {
-		_, fits := e.findWithout(slots, index, candidates[:count], job.Spec.Shape)
+	find := func(count int) ([]packer.Slot, []packer.Piece, bool) {
+		open := slotsWithout(slots, index, candidates[:count])
+		place, fits := packer.Find(e.unclaimed(accelerator, open), unit.Shape)
+		return open, place, fits
+	}
+	first := sort.Search(len(candidates)+1, func(count int) bool {
+		_, _, fits := find(count)
 		return fits
 	})
-	for ; count <= len(candidates); count++ {
-		pieces, fits := e.findWithout(slots, index, candidates[:count], job.Spec.Shape)
-		if fits && e.keepsGuarantees(accelerator, pieces, job.Spec.Shape, unit) {
-			return pieces, e.needed(slots, candidates[:count], pieces, job.Spec.Shape), true
+	for count := first; count <= len(candidates); count++ {
+		open, place, fits := find(count)
+		if !fits || !e.keepsGuarantees(accelerator, place, unit) {
+			continue
 		}
+		pieces, fits := packer.Find(within(open, place, unit.Shape), job.Spec.Shape)
+		if !fits {
+			continue
+		}
+		victims := needed(slots, candidates[:count], pieces, job.Spec.Shape)
+		return reclaimable{place: place, pieces: pieces, victims: victims}, true
 	}
-	return nil, nil, false
+	return reclaimable{}, false
 }
 
 // borrowersByCost lists the jobs that may be put out, the cheapest first. Jobs
@@ -108,29 +126,24 @@
 	return done * total
 }
 
-// findWithout finds a place for a shape as if the victims were gone.
-func (e *Engine) findWithout(slots []packer.Slot, index map[workerID]int, victims []victim, shape packer.Shape) ([]packer.Piece, bool) {
-	scratch := append([]packer.Slot(nil), slots...)
+// slotsWithout shows the space that is free once the victims are gone.
+func slotsWithout(slots []packer.Slot, index map[workerID]int, victims []victim) []packer.Slot {
+	open := append([]packer.Slot(nil), slots...)
 	for _, v := range victims {
 		for i := range v.job.Pieces {
 			piece := &v.job.Pieces[i]
 			place, known := index[piece.Worker]
-			if !known || !piece.holds() {
-				continue
-			}
-			w := e.workers[piece.Worker]
-			if w.info.Leaving || scratch[place].Free >= w.info.Accelerators {
-				continue
+			if known && piece.holds() && !open[place].Closed {
+				open[place].Free += piece.Parts * v.job.Spec.Shape.PerPart
 			}
-			scratch[place].Free += piece.Parts * v.job.Spec.Shape.PerPart
 		}
 	}
-	return packer.Find(scratch, shape)
+	return open
 }
 
 // needed returns the victims without which the place would not be free. The
 // dearest are spared first; one that frees nothing is never taken.
-func (e *Engine) needed(slots []packer.Slot, victims []victim, pieces []packer.Piece, shape packer.Shape) []*Job {
+func needed(slots []packer.Slot, victims []victim, pieces []packer.Piece, shape packer.Shape) []*Job {
 	short := map[workerID]int{}
 	for _, piece := range pieces {
 		short[slots[piece.Slot].Worker] = piece.Parts*shape.PerPart - slots[piece.Slot].Free
@@ -181,10 +194,6 @@
 		if now.Before(h.until) {
 			continue
 		}
-		if job, known := e.jobs[id]; known && job.State == StateQueued && !h.reclaiming {
-			h.until = now.Add(e.options.reserveAfter)
-			continue
-		}
 		delete(e.holds, id)
 		e.touched = true
 	}
--- a/placer/report.go
+++ b/placer/report.go
@@ -84,6 +84,11 @@
 				e.occupy(job, &job.Pieces[i])
 			}
 		}
+		for _, site := range job.Place {
+			if site.Worker == w.info.ID {
+				w.guaranteed += site.Accelerators
+			}
+		}
 	}
 }
 
@@ -133,10 +138,11 @@
 		if piece.Worker != w.info.ID || !piece.holds() {
 			continue
 		}
-		if piece.State == PieceAsked && now.Sub(job.changed) < e.options.commandTimeout {
+		if piece.State == PieceAsked && now.Sub(piece.asked) < e.options.commandTimeout {
 			continue
 		}
 		e.lose(job, piece, "worker "+string(w.info.ID)+" lost its part", now)
+		return
 	}
 }
 
@@ -145,6 +151,8 @@
 		return
 	}
 	piece.Progress = max(piece.Progress, lease.Progress)
+	piece.heard = true
+	job.adopting = job.adopting && !allHeard(job)
 	if lease.State.Holds() {
 		piece.held = now.Add(e.options.lease + e.options.leaseMargin)
 	}
@@ -166,7 +174,7 @@
 	if piece.State == PieceAsked {
 		piece.State = PieceLeased
 	}
-	if job.State != StateLeasing && !job.adopting {
+	if job.State != StateLeasing {
 		return
 	}
 	for i := range job.Pieces {
@@ -174,12 +182,19 @@
 			return
 		}
 	}
-	if job.State != StateLeasing {
-		return
-	}
 	e.startAll(job, now)
 }
 
+// allHeard reports whether this owner has a report of every piece.
+func allHeard(job *Job) bool {
+	for i := range job.Pieces {
+		if job.Pieces[i].holds() && !job.Pieces[i].heard {
+			return false
+		}
+	}
+	return true
+}
+
 // startAll tells every worker of a fully leased gang to run.
 func (e *Engine) startAll(job *Job, now time.Time) {
 	job.adopting = false
@@ -197,7 +212,7 @@
 
 func (e *Engine) pieceRunning(job *Job, piece *Piece, now time.Time) {
 	piece.State = PieceRunning
-	if job.State != StateStarting && job.State != StateLeasing && !job.adopting {
+	if job.State != StateStarting && job.State != StateLeasing {
 		return
 	}
 	for i := range job.Pieces {
@@ -206,41 +221,29 @@
 			return
 		}
 	}
-	job.adopting = false
-	if job.State != StateStarting && job.State != StateLeasing {
-		return
-	}
 	job.Started = now
 	e.enter(job, StateRunning, now)
 }
 
 func (e *Engine) pieceFinished(job *Job, piece *Piece, now time.Time) {
-	if job.State == StateStopping && job.Next == StateQueued && !e.othersFinished(job, piece) {
-		e.release(job, piece, PieceReleased)
-		e.settleStopped(job, now)
-		return
-	}
 	e.release(job, piece, PieceFinished)
 	e.mark(job)
-	for i := range job.Pieces {
-		if job.Pieces[i].State != PieceFinished {
-			return
+	cancelled := job.State == StateStopping && job.Next != StateQueued
+	switch {
+	case allFinished(job) && !cancelled:
+		if job.Started.IsZero() {
+			job.Started = job.changed
 		}
-	}
-	if job.State == StateStopping && job.Next == StateCancelled {
+		e.succeeded(job, now)
+		e.finish(job, StateFinished, now)
+	case job.State == StateStopping:
 		e.settleStopped(job, now)
-		return
 	}
-	if job.Started.IsZero() {
-		job.Started = job.changed
-	}
-	e.succeeded(job, now)
-	e.finish(job, StateFinished, now)
 }
 
-func (e *Engine) othersFinished(job *Job, piece *Piece) bool {
+func allFinished(job *Job) bool {
 	for i := range job.Pieces {
-		if &job.Pieces[i] != piece && job.Pieces[i].State != PieceFinished {
+		if job.Pieces[i].State != PieceFinished {
 			return false
 		}
 	}
@@ -305,7 +308,8 @@
 // watchLeases gives up pieces whose worker has been silent for so long that
 // its own clock has ended the lease.
 func (e *Engine) watchLeases(job *Job, now time.Time) {
-	for i := range job.Pieces {
+	// The loss of the last piece empties the list.
+	for i := 0; i < len(job.Pieces); i++ {
 		piece := &job.Pieces[i]
 		if piece.holds() && !now.Before(piece.held) {
 			e.lose(job, piece, "worker "+string(piece.Worker)+" is silent", now)
--- a/placer/schedule.go
+++ b/placer/schedule.go
@@ -12,10 +12,11 @@
 func (e *Engine) Tick(now time.Time) {
 	e.watchRunning(now)
 	e.watchHolds(now)
-	if !e.touched {
+	if !e.touched && now.Before(e.nextLook) {
 		return
 	}
 	e.touched = false
+	e.nextLook = now.Add(lookInterval)
 	e.promote()
 	e.schedule(now)
 }
@@ -53,16 +54,39 @@
 	if h, held := e.holds[job.Spec.ID]; held && h.reclaiming {
 		return e.startHeld(job, h, unit, now)
 	}
-	slots := e.freeSlots(job.Spec.Accelerator, job, now)
-	pieces, fits := packer.Find(slots, job.Spec.Shape)
-	if fits && e.keepsGuarantees(job.Spec.Accelerator, pieces, job.Spec.Shape, unit) {
+	accelerator := job.Spec.Accelerator
+	slots := e.freeSlots(accelerator, job, now)
+	place, fits := packer.Find(e.unclaimed(accelerator, slots), unit.Shape)
+	if fits && e.keepsGuarantees(accelerator, place, unit) {
+		pieces, _ := packer.Find(within(slots, place, unit.Shape), job.Spec.Shape)
 		e.start(job, pieces, now)
-		e.setGuaranteed(job, unit)
+		e.setGuaranteed(job, unit, place)
 		return true
 	}
 	return e.reclaim(job, unit, now)
 }
 
+// unclaimed limits free space to what is in no guaranteed job's place.
+func (e *Engine) unclaimed(accelerator string, slots []packer.Slot) []packer.Slot {
+	limited := append([]packer.Slot(nil), slots...)
+	for i, claimable := range e.claimableSlots(accelerator) {
+		limited[i].Free = min(limited[i].Free, claimable.Free)
+	}
+	return limited
+}
+
+// within limits free space to a place.
+func within(slots []packer.Slot, place []packer.Piece, shape packer.Shape) []packer.Slot {
+	limited := append([]packer.Slot(nil), slots...)
+	for i := range limited {
+		limited[i].Free = 0
+	}
+	for _, piece := range place {
+		limited[piece.Slot].Free = min(slots[piece.Slot].Free, piece.Parts*shape.PerPart)
+	}
+	return limited
+}
+
 // startHeld starts a job in its held place once the borrowers are gone.
 func (e *Engine) startHeld(job *Job, h *hold, unit Unit, now time.Time) bool {
 	slots := e.freeSlots(job.Spec.Accelerator, job, now)
@@ -72,8 +96,11 @@
 		}
 	}
 	delete(e.holds, job.Spec.ID)
+	if h.unit != unit || !e.keepsGuarantees(job.Spec.Accelerator, h.place, unit) {
+		return e.startGuaranteed(job, unit, now)
+	}
 	e.start(job, h.pieces, now)
-	e.setGuaranteed(job, unit)
+	e.setGuaranteed(job, unit, h.place)
 	return true
 }
 
@@ -277,7 +304,7 @@
 		for _, ends := range endings[:count] {
 			for i := range ends.job.Pieces {
 				piece := &ends.job.Pieces[i]
-				if place, known := index[piece.Worker]; known && piece.holds() {
+				if place, known := index[piece.Worker]; known && piece.holds() && !future[place].Closed {
 					future[place].Free += piece.Parts * ends.job.Spec.Shape.PerPart
 				}
 			}
@@ -332,7 +359,7 @@
 	for _, piece := range pieces {
 		job.Pieces = append(job.Pieces, Piece{
 			Worker: order[piece.Slot].info.ID, Parts: piece.Parts,
-			State: PieceAsked, held: now.Add(e.options.lease + e.options.leaseMargin),
+			State: PieceAsked, asked: now, held: now.Add(e.options.lease + e.options.leaseMargin),
 			Progress: job.Progress,
 		})
 	}
@@ -359,12 +386,30 @@
 		if !found {
 			continue
 		}
-		if e.keepsGuarantees(job.Spec.Accelerator, e.piecesOf(job), job.Spec.Shape, unit) {
-			e.setGuaranteed(job, unit)
+		place, fits := e.placeAround(job, unit)
+		if fits && e.keepsGuarantees(job.Spec.Accelerator, place, unit) {
+			e.setGuaranteed(job, unit, place)
 		}
 	}
 }
 
+// placeAround returns a place of a guaranteed shape that holds a running job's
+// pieces: the pieces themselves if the shapes are the same, or the worker that
+// the whole job runs on.
+func (e *Engine) placeAround(job *Job, unit Unit) ([]packer.Piece, bool) {
+	pieces := e.piecesOf(job)
+	if len(pieces) != len(job.Pieces) {
+		return nil, false
+	}
+	if unit.Shape == job.Spec.Shape {
+		return pieces, true
+	}
+	if unit.Shape.Adjacent != packer.AdjacentWorker || len(pieces) != 1 {
+		return nil, false
+	}
+	return []packer.Piece{{Slot: pieces[0].Slot, Parts: unit.Shape.Parts}}, true
+}
+
 func (e *Engine) piecesOf(job *Job) []packer.Piece {
 	index := e.slotIndex(job.Spec.Accelerator)
 	var pieces []packer.Piece
--- a/placer/slots.go
+++ b/placer/slots.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"cranberrystack.dev/cranberrystack/identifier"
 	"cranberrystack.dev/cranberrystack/packer"
 )
 
@@ -29,7 +30,7 @@
 	return slots
 }
 
-// claimableSlots shows as free all that guaranteed jobs do not hold.
+// claimableSlots shows as free all that is in no guaranteed job's place.
 func (e *Engine) claimableSlots(accelerator string) []packer.Slot {
 	slots := emptySlots(e.order[accelerator])
 	for i, w := range e.order[accelerator] {
@@ -48,7 +49,9 @@
 		slots[i] = packer.Slot{Worker: w.info.ID, Rack: w.info.Rack, Total: w.info.Accelerators}
 		if e.usable(w, now) {
 			slots[i].Free = w.info.Accelerators - w.used
+			continue
 		}
+		slots[i].Closed = true
 	}
 	for id, h := range e.holds {
 		if h.accelerator == accelerator && (job == nil || id != job.Spec.ID) {
@@ -65,16 +68,23 @@
 	return !w.info.Leaving && now.Sub(w.heard) < e.options.silence && !now.Before(w.quarantined)
 }
 
+// avoidFailed keeps a job off the workers that it failed on, unless no place
+// would be left for it even if nothing else ran.
 func (e *Engine) avoidFailed(job *Job, slots []packer.Slot) {
-	for _, id := range job.FailedOn {
-		w, known := e.workers[id]
-		if !known || w.info.Accelerator != job.Spec.Accelerator {
-			continue
-		}
-		for i := range slots {
-			if slots[i].Worker == id {
-				slots[i].Free = 0
-			}
+	if len(job.FailedOn) == 0 {
+		return
+	}
+	empty := emptySlots(e.order[job.Spec.Accelerator])
+	closeSlots(empty, job.FailedOn)
+	if _, fits := packer.Find(empty, job.Spec.Shape); fits {
+		closeSlots(slots, job.FailedOn)
+	}
+}
+
+func closeSlots(slots []packer.Slot, workers []identifier.WorkerID) {
+	for i := range slots {
+		if contains(workers, slots[i].Worker) {
+			slots[i].Free, slots[i].Closed = 0, true
 		}
 	}
 }
@@ -112,8 +122,11 @@
 	shape       packer.Shape
 	// until is when the hold is looked at again.
 	until time.Time
-	// reclaiming is set while borrowers are being put out of the place.
+	// reclaiming is set while borrowers are being put out. place is then where
+	// the whole shape of unit lies, and pieces are within it.
 	reclaiming bool
+	unit       Unit
+	place      []packer.Piece
 }
 
 // subtract takes the held space from what is free to others.
