--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -22,6 +22,9 @@
 // ErrKeyReused reports a key that was used for a different request.
 var ErrKeyReused = eris.New("key was used for another request")
 
+// ErrHasClaims reports a claim group that has not lost its claims.
+var ErrHasClaims = eris.New("instance has claims")
+
 // ErrFull reports a table that holds too many claims that may not be
 // forgotten yet.
 var ErrFull = eris.New("claim table is full")
--- a/claimer/group.go
+++ b/claimer/group.go
@@ -26,6 +26,7 @@
 
 	maxMessageBytes = 128 << 20
 	recoverInterval = 500 * time.Millisecond
+	proposeTimeout  = 5 * time.Second
 )
 
 // Peer is another instance of the claim group.
@@ -418,7 +419,7 @@
 		return true
 	}
 	if group.Generation == 0 {
-		c.proposeStart(group)
+		_ = c.proposeStart(group) // tried again at the next turn
 	}
 	return false
 }
@@ -440,21 +441,34 @@
 	c.ready = true
 }
 
-// proposeStart asks for an empty table if the data centre never had one. All
-// of the group have to be up, since an absent one may know claims.
-func (c *Claimer) proposeStart(group configurer.ClaimGroup) {
+// proposeStart asks for an empty table. All of the group have to be up and
+// without claims, since an absent one may know some.
+func (c *Claimer) proposeStart(group configurer.ClaimGroup) error {
 	starters := map[identifier.InstanceID]identifier.Incarnation{c.self: c.incarnation}
 	for _, peer := range c.peers {
 		state, err := c.state(peer)
-		if err != nil || state.Ready {
-			return
+		if err != nil {
+			return err
+		}
+		if state.Ready {
+			return fmt.Errorf("%s: %w", peer.ID, ErrHasClaims)
 		}
 		starters[peer.ID] = state.Incarnation
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), c.options.callTimeout*4)
+	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
 	defer cancel()
 	next := configurer.ClaimGroup{DataCenter: c.dataCenter, Generation: group.Generation + 1, Starters: starters}
-	_ = c.seams.Propose(ctx, next)
+	return c.seams.Propose(ctx, next)
+}
+
+// Reset starts the data centre's claims anew after all of its entry instances
+// have lost theirs. Requests that ran before may run again under their keys.
+// It fails with ErrHasClaims while any instance of the group has claims.
+func (c *Claimer) Reset() error {
+	if c.Ready() {
+		return fmt.Errorf("%s: %w", c.self, ErrHasClaims)
+	}
+	return c.proposeStart(c.seams.Group())
 }
 
 func (c *Claimer) state(peer Peer) (stateAnswer, error) {
--- a/cranberrybench/requestmeter/load.go
+++ b/cranberrybench/requestmeter/load.go
@@ -31,11 +31,18 @@
 	deadline  time.Duration
 }
 
+// ramp is left out of steady figures at the begin of a run.
+const ramp = 2 * time.Second
+
 // result counts what came back, by kind.
 type result struct {
 	mu       sync.Mutex
 	offered  map[string]int
 	answered map[string]int
+	// inWindow counts the answers that came between from and to, when the load
+	// is steady.
+	inWindow map[string]int
+	from, to time.Time
 	took     map[string][]time.Duration
 }
 
@@ -79,7 +86,10 @@
 
 // run plays streams and waits for all answers.
 func (l *load) run(length time.Duration, streams []stream) *result {
-	r := &result{offered: map[string]int{}, answered: map[string]int{}, took: map[string][]time.Duration{}}
+	r := &result{
+		from: time.Now().Add(ramp), to: time.Now().Add(length), offered: map[string]int{},
+		answered: map[string]int{}, inWindow: map[string]int{}, took: map[string][]time.Duration{},
+	}
 	var running sync.WaitGroup
 	for i, s := range streams {
 		random := rand.New(rand.NewPCG(l.seed, uint64(i)))
@@ -110,6 +120,9 @@
 	r.offered[s.kind]++
 	if ok && took <= s.deadline {
 		r.answered[s.kind]++
+		if now := time.Now(); now.After(r.from) && now.Before(r.to) {
+			r.inWindow[s.kind]++
+		}
 		r.took[s.kind] = append(r.took[s.kind], took)
 	}
 }
--- a/cranberrybench/requestmeter/requestmeter.go
+++ b/cranberrybench/requestmeter/requestmeter.go
@@ -87,9 +87,9 @@
 		{member: nieve, kind: "route", weight: 1, perSecond: rate, deadline: deadline},
 	})
 	// The more valuable kind alone fills the capacity at this load.
-	possible := 3 * capacity() * crestTime.Seconds()
-	f.crestIsuku = (3*float64(result.answered["photo"]) + float64(result.answered["match"])) / (possible / 2)
-	f.crestNieve = (3*float64(result.answered["load"]) + float64(result.answered["route"])) / (possible / 2)
+	possible := 3 * capacity() * (crestTime - ramp).Seconds()
+	f.crestIsuku = (3*float64(result.inWindow["photo"]) + float64(result.inWindow["match"])) / (possible / 2)
+	f.crestNieve = (3*float64(result.inWindow["load"]) + float64(result.inWindow["route"])) / (possible / 2)
 	f.crestService = (f.crestIsuku + f.crestNieve) / 2
 }
 
@@ -118,9 +118,7 @@
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
 	cpu := processTime()
-	began := time.Now()
 	done := load.closedLoop(32, 5*time.Second)
-	_ = began
 	spent := processTime() - cpu
 	runtime.ReadMemStats(&after)
 	f.perCore = float64(done) / spent.Seconds()
--- a/cranberryctl/command/command.go
+++ b/cranberryctl/command/command.go
@@ -63,7 +63,7 @@
 	flags.StringVar(&s.token, "token", "", "bearer token (CRANBERRY_TOKEN, for operators CRANBERRY_OPERATOR_TOKEN)")
 	flags.StringVar(&s.output, "output", "table", "\"table\" for people or \"json\" for programs")
 	flags.DurationVar(&s.timeout, "timeout", defaultTimeout, "time for one call")
-	root.AddCommand(newLists(s), newStatus(s), newVoters(s), newUpstreams(s))
+	root.AddCommand(newLists(s), newStatus(s), newVoters(s), newUpstreams(s), newClaims(s))
 	root.AddCommand(newRequest(s), newKey(s), newJobs(s))
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
 		return fmt.Errorf("%w: %w", errUsage, err)
--- a/cranberryctl/command/system.go
+++ b/cranberryctl/command/system.go
@@ -209,3 +209,18 @@
 		},
 	}
 }
+
+func newClaims(s *session) *cobra.Command {
+	group := &cobra.Command{Use: "claims", Short: "Care for the claims of keyed requests"}
+	group.AddCommand(&cobra.Command{
+		Use: "reset", Short: "Start a data centre's claims anew after all its entry instances have lost them",
+		Long: "Start a data centre's claims anew. Requests that ran before may run again under\n" +
+			"their keys; the instance asked refuses while any of the data centre has claims.",
+		Args: exactly(0),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			_, err := s.asOperator().Send(cmd.Context(), caller.Message{Method: http.MethodPost, Path: "/v1/claims/reset"})
+			return err
+		},
+	})
+	return group
+}
--- a/cranberryd/daemon/daemon.go
+++ b/cranberryd/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"cranberrystack.dev/cranberryd/operator"
 	_ "cranberrystack.dev/cranberryd/placement" // registers the placement plug-in
 	"cranberrystack.dev/cranberryd/server"
+	"cranberrystack.dev/cranberrystack/configurer"
 	"cranberrystack.dev/cranberrystack/kernel"
 	"cranberrystack.dev/cranberrystack/messenger"
 	"cranberrystack.dev/cranberrystack/recorder"
@@ -26,6 +27,7 @@
 	kernel   *kernel.Kernel
 	server   *server.Server
 	recorder *recorder.Recorder
+	follower *configurer.Follower
 	failed   chan error
 }
 
@@ -46,7 +48,7 @@
 			),
 			membership.Option,
 			operator.Option,
-			fx.Populate(&d.server, &d.recorder),
+			fx.Populate(&d.server, &d.recorder, &d.follower),
 		))
 	if err != nil {
 		return nil, fmt.Errorf("assemble %s: %w", settings.Instance, err)
@@ -80,6 +82,9 @@
 // Ready returns why the process is not ready, or nil.
 func (d *Daemon) Ready() error { return d.server.Ready() }
 
+// Lists returns the lists in force in the process.
+func (d *Daemon) Lists() configurer.View { return d.follower.View() }
+
 // Recorder returns the histograms and counters of the process.
 func (d *Daemon) Recorder() *recorder.Recorder { return d.recorder }
 
--- a/cranberryd/entry/entry.go
+++ b/cranberryd/entry/entry.go
@@ -5,7 +5,9 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 
+	"github.com/gin-gonic/gin"
 	"github.com/google/uuid"
 	"go.uber.org/fx"
 
@@ -25,6 +27,7 @@
 	"cranberrystack.dev/cranberrystack/overseer"
 	"cranberrystack.dev/cranberrystack/recorder"
 	"cranberrystack.dev/cranberrystack/registrar"
+	"cranberrystack.dev/cranberrystack/responder"
 )
 
 // Role is the role of instances that callers talk to.
@@ -126,6 +129,7 @@
 	peers := s.Group(authenticator.KindPeer)
 	peers.POST(forwardPath, h.forwarded)
 	c.Routes(peers)
+	s.Group(authenticator.KindOperator).POST("/v1/claims/reset", func(g *gin.Context) { resetClaims(g, c) })
 	s.AddCheck(func() error {
 		if !c.Ready() {
 			return errClaims
@@ -133,3 +137,15 @@
 		return nil
 	})
 }
+
+func resetClaims(g *gin.Context, c *claimer.Claimer) {
+	err := c.Reset()
+	switch {
+	case errors.Is(err, claimer.ErrHasClaims):
+		responder.Fail(g, responder.Problem{Status: http.StatusConflict, Code: responder.CodeConflict, Reason: err.Error()})
+	case err != nil:
+		responder.Fail(g, responder.Problem{Status: http.StatusServiceUnavailable, Code: responder.CodeUnavailable, Reason: err.Error()})
+	default:
+		g.Status(http.StatusNoContent)
+	}
+}
--- a/limiter/grant.go
+++ b/limiter/grant.go
@@ -93,7 +93,7 @@
 	if ticket.Class == ClassShort {
 		return findSlot(c.freeShort, ticket, false) >= 0 || findSlot(c.free, ticket, false) >= 0
 	}
-	if findSlot(c.free, ticket, false) < 0 || c.long >= c.general {
+	if findSlot(c.free, ticket, false) < 0 || c.long >= c.longLimit() {
 		return false
 	}
 	if float64(plan.running) < plan.share*float64(c.total) {
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -8,6 +8,7 @@
 package limiter
 
 import (
+	"math"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -144,6 +145,8 @@
 	long    int
 	waiting int
 	next    int
+	// shortMean follows the number of slots that short work holds.
+	shortMean float64
 	// newlyOverdue collects tickets for TakeOverdue.
 	newlyOverdue []*Ticket
 }
@@ -358,9 +361,18 @@
 	for _, state := range c.slots {
 		c.judgeOverdue(state.holder, now)
 	}
+	c.shortMean += shortMeanRate * (float64(c.running-c.long) - c.shortMean)
 	c.grant(now)
 }
 
+// longLimit is the number of slots that long work may hold: all but those for
+// short work only, and but those that short work needs to find one free nearly
+// always (its mean use and twice the square root of that).
+func (c *Core) longLimit() int {
+	needed := c.shortMean + 2*math.Sqrt(c.shortMean)
+	return min(c.general, c.total-int(math.Ceil(needed)))
+}
+
 func (c *Core) expire(plan *planState, q *queue, now time.Time) {
 	kept := q.tickets[:0]
 	for _, ticket := range q.tickets {
--- a/limiter/options.go
+++ b/limiter/options.go
@@ -26,6 +26,9 @@
 	marginDivisor = 8
 	marginFloor   = 4 * time.Millisecond
 	maxMargin     = time.Second
+	// shortMeanRate is the part that one tick takes in the mean use by short
+	// work.
+	shortMeanRate = 0.02
 )
 
 type options struct {
--- a/placer/guard.go
+++ b/placer/guard.go
@@ -56,10 +56,11 @@
 	return firstEstimate
 }
 
-// blame notes that a job failed on a worker. The worker is set aside when
-// several different jobs failed there with no success between. A job that
-// fails on several workers is itself at fault: it is given up, and no worker
-// stays blamed for it.
+// blame notes that a job failed on a worker. Only a job's first worker is
+// suspected for it: a job that goes on to fail elsewhere is itself at fault.
+// Failures are held against all its workers again once it succeeds on another.
+// A worker is set aside when several different jobs count against it. A job
+// that has failed on several workers is given up.
 func (e *Engine) blame(job *Job, worker identifier.WorkerID, now time.Time) (giveUp bool) {
 	if !contains(job.FailedOn, worker) {
 		job.FailedOn = append(job.FailedOn, worker)
@@ -68,12 +69,19 @@
 	if !known || !now.Before(w.quarantined) {
 		job.Failures++
 	}
-	if e.failedOnGoodWorkers(job, now) >= workersToGiveUp || job.Failures >= failuresToGiveUp {
+	if len(job.FailedOn) > 1 {
 		e.pardon(job, now)
-		return true
+	} else {
+		e.suspect(worker, job, now)
 	}
+	return e.failedOnGoodWorkers(job, now) >= workersToGiveUp || job.Failures >= failuresToGiveUp
+}
+
+// suspect counts a job against a worker.
+func (e *Engine) suspect(worker identifier.WorkerID, job *Job, now time.Time) {
+	w, known := e.workers[worker]
 	if !known {
-		return false
+		return
 	}
 	if w.failures == nil {
 		w.failures = map[identifier.JobID]bool{}
@@ -82,7 +90,6 @@
 	if len(w.failures) >= failuresToQuarantine && !now.Before(w.quarantined) {
 		w.quarantined = now.Add(quarantineTime)
 	}
-	return false
 }
 
 // failedOnGoodWorkers counts the workers that a job failed on and that are not
@@ -99,7 +106,7 @@
 	return count
 }
 
-// pardon takes a bad job's failures off the workers it ran on.
+// pardon takes a job's failures off the workers that it ran on.
 func (e *Engine) pardon(job *Job, now time.Time) {
 	for _, id := range job.FailedOn {
 		w, known := e.workers[id]
@@ -123,13 +130,17 @@
 	return false
 }
 
-// succeeded notes a success on all of a job's workers.
+// succeeded clears a job's workers of suspicion, and holds its failures against
+// the workers that it failed on before.
 func (e *Engine) succeeded(job *Job, now time.Time) {
 	for i := range job.Pieces {
 		if w, known := e.workers[job.Pieces[i].Worker]; known {
 			clear(w.failures)
 		}
 	}
+	for _, id := range job.FailedOn {
+		e.suspect(id, job, now)
+	}
 	e.learnt.observe(&job.Spec, job.Progress+now.Sub(job.Started))
 }
 
--- a/replicator/formation.go
+++ b/replicator/formation.go
@@ -24,12 +24,14 @@
 	verdictWait verdict = iota
 	verdictNew
 	verdictJoin
+	verdictLost
 )
 
 // form settles whether this instance starts a new group, returns to one, or
 // waits to be added. A new group is formed only when every first voter says
-// that it holds no log: an instance that has lost its disk may have voted
-// before and must not vote again under its old name.
+// that it holds no log. A first voter that finds the group formed without it
+// has lost its disk: it may have voted and acknowledged entries before, so it
+// takes no part under its old name and has to be replaced by a new instance.
 func (n *Node) form(initial []Peer) (Restored, bool) {
 	ticker := time.NewTicker(formationInterval)
 	defer ticker.Stop()
@@ -40,6 +42,8 @@
 			return n.begin(Membership{Voters: initial}, counted)
 		case verdictJoin:
 			return n.begin(Membership{}, nil)
+		case verdictLost:
+			n.setLost()
 		}
 		if !n.waitForming(ticker.C) {
 			return Restored{}, false
@@ -68,7 +72,7 @@
 			return verdictNew, theirs.Counted
 		}
 		if !theirs.Fresh {
-			return verdictJoin, nil
+			return verdictLost, nil
 		}
 		counted[peer.ID] = theirs.Nonce
 	}
@@ -115,6 +119,19 @@
 	return restored, true
 }
 
+func (n *Node) setLost() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lost = true
+}
+
+// LostDisk reports whether the instance has found that it has lost its disk.
+func (n *Node) LostDisk() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.lost
+}
+
 // Formation returns what peers have to know to form a group.
 func (n *Node) Formation() Formation {
 	n.mu.Lock()
--- a/replicator/node.go
+++ b/replicator/node.go
@@ -107,8 +107,9 @@
 	failure   error
 	addresses map[identifier.InstanceID]string
 
-	// mu guards the store's formation, which other goroutines read.
-	mu sync.Mutex
+	// mu guards lost and the store's formation, which other goroutines read.
+	mu   sync.Mutex
+	lost bool
 }
 
 // Open restores a node from its folder. initial names the first voters of a
@@ -230,7 +231,7 @@
 	result := make(chan Status, 1)
 	ask := func() {
 		if n.core == nil {
-			result <- Status{ID: n.id, Role: RoleFollower}
+			result <- n.unformedStatus()
 			return
 		}
 		result <- n.core.Status()
@@ -243,6 +244,13 @@
 	}
 }
 
+func (n *Node) unformedStatus() Status {
+	if n.LostDisk() {
+		return Status{ID: n.id, Role: RoleLost}
+	}
+	return Status{ID: n.id, Role: RoleFollower}
+}
+
 // Failure returns the error that stopped the node, if one did.
 func (n *Node) Failure() error {
 	<-n.done
--- a/replicator/replication.go
+++ b/replicator/replication.go
@@ -251,6 +251,12 @@
 	if snapshotUnderWay {
 		return
 	}
+	if match < p.match && p.next == p.match+1 {
+		// The peer has forgotten what it acknowledged. Nothing that is sent
+		// helps, so it is tried again only now and then.
+		p.waiting, p.sent, p.sentTo = true, c.clock, c.log.lastIndex()+1
+		return
+	}
 	p.waiting = false
 	p.next = max(p.match, min(match, c.log.lastIndex())) + 1
 }
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -144,6 +144,8 @@
 	RolePreCandidate Role = "pre-candidate"
 	RoleCandidate    Role = "candidate"
 	RoleLeader       Role = "leader"
+	// RoleLost is that of a first voter that has lost its disk.
+	RoleLost Role = "lost-disk"
 )
 
 // Config sets up a core.
