--- a/cranberrybench/jobmeter/decisions.go
+++ b/cranberrybench/jobmeter/decisions.go
@@ -19,6 +19,9 @@
 	fillPart       = 0.97
 	decisions      = 3000
 	taskTime       = time.Hour
+	// reportTurns is the number of decisions in which every worker reports
+	// once.
+	reportTurns = 50
 )
 
 // measureDecisions measures one decision (a submission, a report of an ended
@@ -93,6 +96,7 @@
 	m := &sizeMeasure{bytes: heap() - before}
 	for range decisions {
 		now = now.Add(100 * time.Millisecond)
+		p.reportInTurn(now)
 		s := p.workers[random.IntN(len(p.workers))]
 		p.endOne(s, now)
 		began := time.Now()
@@ -108,6 +112,15 @@
 	return m
 }
 
+// reportInTurn lets each worker report every few seconds.
+func (p *placed) reportInTurn(now time.Time) {
+	each := max(len(p.workers)/reportTurns, 1)
+	for range each {
+		p.turn = (p.turn + 1) % len(p.workers)
+		p.report(p.workers[p.turn], now)
+	}
+}
+
 // endOne ends one task of a worker.
 func (p *placed) endOne(s *standIn, now time.Time) {
 	for _, task := range s.tasks {
--- a/cranberrybench/jobmeter/jobmeter.go
+++ b/cranberrybench/jobmeter/jobmeter.go
@@ -46,6 +46,7 @@
 	both("completion p50 of all", "ratio <= 1", func(o *outcome) time.Duration { return o.completion(0.5, all) })
 	both("completion p50 of large gangs", "ratio <= 1", func(o *outcome) time.Duration { return o.completion(0.5, large) })
 	both("completion p95 of large gangs", "ratio <= 0.5", func(o *outcome) time.Duration { return o.completion(0.95, large) })
+	both("  of which run time, p95", "", func(o *outcome) time.Duration { return o.runTime(0.95, large) })
 	both("wait p95 of large gangs", "", func(o *outcome) time.Duration { return o.wait(0.95, large) })
 	both("wait p95 of guaranteed claims", "", func(o *outcome) time.Duration { return o.wait(0.95, claims) })
 	both("longest wait of a guaranteed claim", fmt.Sprintf("<= %.1f", (grace+reclaimSlack).Seconds()), func(o *outcome) time.Duration { return o.wait(1, claims) })
--- a/cranberrybench/jobmeter/placed.go
+++ b/cranberrybench/jobmeter/placed.go
@@ -35,6 +35,7 @@
 	started  []identifier.JobID
 	ended    []identifier.JobID
 	reported time.Time
+	turn     int
 }
 
 func newPlaced(w workload) *placed {
--- a/cranberrybench/jobmeter/play.go
+++ b/cranberrybench/jobmeter/play.go
@@ -129,6 +129,12 @@
 	return o.quantile(quantile, pick, func(p *played) time.Duration { return p.started })
 }
 
+// runTime returns a quantile of the jobs' own run times, below which no
+// completion can go.
+func (o *outcome) runTime(quantile float64, pick func(*plannedJob) bool) time.Duration {
+	return o.quantile(quantile, pick, func(p *played) time.Duration { return p.job.at + p.job.takes })
+}
+
 func (o *outcome) quantile(quantile float64, pick func(*plannedJob) bool, at func(*played) time.Duration) time.Duration {
 	var took []time.Duration
 	for _, p := range o.jobs {
--- a/cranberrybench/jobmeter/workload.go
+++ b/cranberrybench/jobmeter/workload.go
@@ -134,8 +134,8 @@
 
 func (w workload) large(random *rand.Rand) *plannedJob {
 	shapes := []packer.Shape{
-		{Adjacent: packer.AdjacentNeighbours, Parts: 2, PerPart: accelerators},
 		{Adjacent: packer.AdjacentNeighbours, Parts: 3, PerPart: accelerators},
+		{Adjacent: packer.AdjacentNeighbours, Parts: 5, PerPart: 4},
 		{Adjacent: packer.AdjacentRack, Parts: 4, PerPart: accelerators},
 		{Adjacent: packer.AdjacentRack, Parts: 32, PerPart: 1},
 	}
--- a/packer/packer.go
+++ b/packer/packer.go
@@ -75,14 +75,22 @@
 	return nil, false
 }
 
+// findWorker takes the fullest worker that fits, and among equals the one in
+// the fullest rack, so that whole racks stay free.
 func findWorker(slots []Slot, shape Shape) ([]Piece, bool) {
-	best := -1
+	best, bestRack := -1, 0
+	rackFree, rackStart := 0, -1
 	for i := range slots {
+		if rackStart < 0 || slots[i].Rack != slots[rackStart].Rack {
+			rackStart = i
+			_, rackFree = rackEnd(slots, i)
+		}
 		if slots[i].Free < shape.Total() {
 			continue
 		}
-		if best < 0 || slots[i].Free < slots[best].Free {
-			best = i
+		fuller := best >= 0 && (slots[i].Free < slots[best].Free || slots[i].Free == slots[best].Free && rackFree < bestRack)
+		if best < 0 || fuller {
+			best, bestRack = i, rackFree
 		}
 	}
 	if best < 0 {
@@ -179,6 +187,78 @@
 	return pieces, missing == 0
 }
 
+// FindEmptiest returns the place for a shape in open space of which the most
+// is free already.
+func FindEmptiest(open, free []Slot, shape Shape) ([]Piece, bool) {
+	var best []Piece
+	bestMissing := -1
+	consider := func(pieces []Piece, fits bool) {
+		if !fits {
+			return
+		}
+		missing := missingIn(free, pieces, shape)
+		if bestMissing < 0 || missing < bestMissing {
+			best, bestMissing = pieces, missing
+		}
+	}
+	switch shape.Adjacent {
+	case AdjacentNeighbours:
+		for first := range open {
+			if _, fits := runLeft(open, first, shape); fits {
+				consider(takeRun(open, first, shape), true)
+			}
+		}
+	case AdjacentRack:
+		for first := 0; first < len(open); {
+			last, _ := rackEnd(open, first)
+			consider(fillFreeFirst(open, free, first, last, shape))
+			first = last
+		}
+	case AdjacentDataCenter:
+		consider(fillFreeFirst(open, free, 0, len(open), shape))
+	case AdjacentWorker:
+		for i := range open {
+			if open[i].Free >= shape.Total() {
+				consider([]Piece{{Slot: i, Parts: shape.Parts}}, true)
+			}
+		}
+	}
+	return best, bestMissing >= 0
+}
+
+// missingIn counts the accelerators of a place that are not free yet.
+func missingIn(free []Slot, pieces []Piece, shape Shape) int {
+	missing := 0
+	for _, piece := range pieces {
+		missing += max(piece.Parts*shape.PerPart-free[piece.Slot].Free, 0)
+	}
+	return missing
+}
+
+// fillFreeFirst puts parts where space is free already, and the rest where it
+// will be.
+func fillFreeFirst(open, free []Slot, first, last int, shape Shape) ([]Piece, bool) {
+	missing := shape.Parts
+	parts := map[int]int{}
+	for _, space := range [][]Slot{free, open} {
+		for i := first; i < last && missing > 0; i++ {
+			fit := space[i].Free/shape.PerPart - parts[i]
+			if fit > 0 {
+				taken := min(missing, fit)
+				parts[i] += taken
+				missing -= taken
+			}
+		}
+	}
+	var pieces []Piece
+	for i := first; i < last; i++ {
+		if parts[i] > 0 {
+			pieces = append(pieces, Piece{Slot: i, Parts: parts[i]})
+		}
+	}
+	return pieces, missing == 0
+}
+
 // Take subtracts what pieces of a shape use from the free space.
 func Take(slots []Slot, pieces []Piece, shape Shape) {
 	for _, piece := range pieces {
--- a/placer/engine.go
+++ b/placer/engine.go
@@ -48,6 +48,13 @@
 	// queue holds the jobs in StateQueued, oldest first.
 	queue   []*Job
 	running *jobSet
+	// changing holds the running jobs that are in any state but StateRunning,
+	// or adopted; they have to be looked at often.
+	changing *jobSet
+	// byPlan holds the running jobs of each plan and kind of accelerator.
+	byPlan map[planUse]*jobSet
+	// watched is the place in running up to which stragglers were looked for.
+	watched int
 	open    int
 	usage   usage
 	learnt  learnt
@@ -58,6 +65,10 @@
 	// nextLook is when jobs are looked at even if nothing has changed: workers
 	// that were set aside come back by time alone.
 	nextLook time.Time
+	// reserveNext is when a place may be reserved again.
+	reserveNext time.Time
+	// enough is the last estimate of when a gang can start.
+	enough estimate
 	// forgot is when ended jobs were last forgotten.
 	forgot time.Time
 	dirty  []*Job
@@ -72,8 +83,9 @@
 		options: newOptions(opts...), dataCenter: dataCenter, epoch: epoch, began: now,
 		dataCenters: max(dataCenters, 1),
 		jobs:        map[identifier.JobID]*Job{}, workers: map[identifier.WorkerID]*workerState{},
-		order: map[string][]*workerState{}, running: newJobSet(),
-		usage: newUsage(), learnt: newLearnt(), holds: map[identifier.JobID]*hold{},
+		order: map[string][]*workerState{}, running: newJobSet(), changing: newJobSet(),
+		byPlan: map[planUse]*jobSet{},
+		usage:  newUsage(), learnt: newLearnt(), holds: map[identifier.JobID]*hold{},
 		attempt: uint64(epoch) << attemptBits,
 	}
 	for i := range jobs {
@@ -107,10 +119,28 @@
 			job.Pieces[i].held = now.Add(e.options.lease + e.options.leaseMargin)
 		}
 	}
-	e.running.add(job)
+	e.addRunning(job)
 	e.usage.add(job, 1)
 }
 
+func (e *Engine) addRunning(job *Job) {
+	e.running.add(job)
+	e.changing.add(job)
+	use := planUse{job.Spec.Plan, job.Spec.Accelerator}
+	if e.byPlan[use] == nil {
+		e.byPlan[use] = newJobSet()
+	}
+	e.byPlan[use].add(job)
+}
+
+func (e *Engine) removeRunning(job *Job) {
+	e.running.remove(job.Spec.ID)
+	e.changing.remove(job.Spec.ID)
+	if own, known := e.byPlan[planUse{job.Spec.Plan, job.Spec.Accelerator}]; known {
+		own.remove(job.Spec.ID)
+	}
+}
+
 // SetLists puts lists in force.
 func (e *Engine) SetLists(view configurer.View) {
 	e.lists = newIndex(view)
@@ -151,6 +181,11 @@
 	job.changed = now
 	e.touched = true
 	e.mark(job)
+	if state == StateRunning {
+		e.changing.remove(job.Spec.ID)
+	} else if _, known := e.running.get(job.Spec.ID); known {
+		e.changing.add(job)
+	}
 }
 
 func (e *Engine) unqueue(job *Job) {
@@ -259,18 +294,19 @@
 	job.Ended = now
 	e.enter(job, state, now)
 	e.open--
-	e.running.remove(job.Spec.ID)
+	e.removeRunning(job)
 	delete(e.holds, job.Spec.ID)
 	e.free(job)
 }
 
 // requeue puts a job back whose pieces hold nothing any more.
 func (e *Engine) requeue(job *Job, now time.Time) {
-	e.running.remove(job.Spec.ID)
+	e.removeRunning(job)
 	e.free(job)
 	job.Pieces = nil
 	job.Guaranteed = false
 	job.Started = time.Time{}
+	job.key = shapeKey{}
 	e.enter(job, StateQueued, now)
 	place := sort.Search(len(e.queue), func(i int) bool { return e.queue[i].Submitted.After(job.Submitted) })
 	e.queue = append(e.queue, nil)
--- a/placer/options.go
+++ b/placer/options.go
@@ -15,9 +15,9 @@
 	DefaultSilence = 15 * time.Second
 	// DefaultCommandTimeout is the time for a lease or start to be confirmed.
 	DefaultCommandTimeout = 5 * time.Second
-	// DefaultReserveAfter is the wait from which a large gang gets a place
-	// reserved.
-	DefaultReserveAfter = 30 * time.Second
+	// DefaultReserveAfter is the wait from which free accelerators are gathered
+	// for a gang.
+	DefaultReserveAfter = 10 * time.Minute
 	// DefaultKeepEnded is how long ended jobs are remembered.
 	DefaultKeepEnded = time.Hour
 	// DefaultMaxJobs bounds the jobs that have not ended.
@@ -42,6 +42,9 @@
 	usageTolerance = 0.1
 	// lookInterval is the longest time between two looks at waiting jobs.
 	lookInterval = 2 * time.Second
+	// retryInterval is the time between two searches that walk all running
+	// jobs for the same waiting one.
+	retryInterval = time.Second
 	// stopRetry is the time between two stops sent to a worker.
 	stopRetry = 2 * time.Second
 	// reclaimSlack is the time beyond the grace after which other victims are
@@ -92,7 +95,8 @@
 	return func(o *options) { o.silence = silence }
 }
 
-// ReserveAfter sets the wait from which a large gang gets a place reserved.
+// ReserveAfter sets the wait from which free accelerators are gathered for a
+// gang.
 func ReserveAfter(wait time.Duration) Option {
 	return func(o *options) { o.reserveAfter = wait }
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -152,13 +152,19 @@
 	// Reason says why the job ended or was last put back.
 	Reason string `json:"reason,omitempty"`
 	// Reclaims counts how often borrowed space was taken back from the job.
-	Reclaims  int  `json:"reclaims,omitempty"`
+	Reclaims int `json:"reclaims,omitempty"`
+	// Moves counts how often the job made room for a gang elsewhere.
+	Moves     int  `json:"moves,omitempty"`
 	Straggler bool `json:"straggler,omitempty"`
 	// Lost is the work that was done again, in accelerator time.
 	Lost time.Duration `json:"lost-ns,omitempty"`
 
 	// changed is when State was entered.
 	changed time.Time
+	// key is worked out when first needed after the job was queued.
+	key shapeKey
+	// tried is when room was last looked for in vain.
+	tried time.Time
 	// adopting is set until a new owner has heard of every piece.
 	adopting bool
 	dirty    bool
--- a/placer/reclaim.go
+++ b/placer/reclaim.go
@@ -17,8 +17,12 @@
 // reclaim has borrowers put out so that a guaranteed job gets its shape. It
 // takes the place whose borrowers lose the least work.
 func (e *Engine) reclaim(job *Job, unit Unit, now time.Time) bool {
+	if now.Sub(job.tried) < retryInterval {
+		return false
+	}
 	found, ok := e.cheapestPlace(job, unit, now)
 	if !ok {
+		job.tried = now
 		return false
 	}
 	grace := e.options.grace
@@ -27,6 +31,7 @@
 	}
 	h := e.newHold(job, found.pieces, now.Add(grace+reclaimSlack), true)
 	h.unit, h.place = unit, found.place
+	e.dropHoldsUnder(h)
 	e.holds[job.Spec.ID] = h
 	for _, borrower := range found.victims {
 		borrower.Reclaims++
@@ -40,6 +45,15 @@
 	return true
 }
 
+// dropHoldsUnder ends the holds of borrowers in the way of a claim.
+func (e *Engine) dropHoldsUnder(claim *hold) {
+	for id, other := range e.holds {
+		if !other.claims() && other.overlaps(claim) {
+			delete(e.holds, id)
+		}
+	}
+}
+
 // reclaimable is a place for a guaranteed shape, the job's pieces within it,
 // and the borrowers that are in the way of the pieces.
 type reclaimable struct {
@@ -52,10 +66,11 @@
 func (e *Engine) cheapestPlace(job *Job, unit Unit, now time.Time) (reclaimable, bool) {
 	accelerator := job.Spec.Accelerator
 	candidates := e.borrowersByCost(accelerator, now)
-	slots := e.freeSlots(accelerator, job, now)
+	slots := e.openSlots(accelerator, job, now)
 	index := e.slotIndex(accelerator)
 	find := func(count int) ([]packer.Slot, []packer.Piece, bool) {
 		open := slotsWithout(slots, index, candidates[:count])
+		e.subtractHolds(accelerator, open, job, true)
 		place, fits := packer.Find(e.unclaimed(accelerator, open), unit.Shape)
 		return open, place, fits
 	}
--- a/placer/report.go
+++ b/placer/report.go
@@ -152,7 +152,12 @@
 	}
 	piece.Progress = max(piece.Progress, lease.Progress)
 	piece.heard = true
-	job.adopting = job.adopting && !allHeard(job)
+	if job.adopting && allHeard(job) {
+		job.adopting = false
+		if job.State == StateRunning {
+			e.changing.remove(job.Spec.ID)
+		}
+	}
 	if lease.State.Holds() {
 		piece.held = now.Add(e.options.lease + e.options.leaseMargin)
 	}
@@ -289,22 +294,48 @@
 	}
 }
 
-// watchRunning looks at every job that holds leases.
+// watchRunning looks at the jobs that time alone can change.
 func (e *Engine) watchRunning(now time.Time) {
-	for _, job := range e.running.all() {
+	for _, job := range e.changing.all() {
 		e.watchLeases(job, now)
 		switch job.State {
 		case StateLeasing, StateStarting:
 			e.watchStart(job, now)
 		case StateStopping:
 			e.watchStop(job, now)
-		case StateRunning:
-			e.watchStraggler(job, now)
 		}
 	}
+	e.watchSilent(now)
+	e.watchStragglers(now)
 	e.forgetEnded(now)
 }
 
+// watchSilent looks at the leases on workers that have not reported lately;
+// those on all others have just been renewed.
+func (e *Engine) watchSilent(now time.Time) {
+	for _, order := range e.order {
+		for _, w := range order {
+			if now.Sub(w.heard) < e.options.silence || w.jobs.len() == 0 {
+				continue
+			}
+			for _, job := range w.jobs.all() {
+				e.watchLeases(job, now)
+			}
+		}
+	}
+}
+
+// stragglersPerTick bounds the running jobs looked at in one tick.
+const stragglersPerTick = 256
+
+// watchStragglers looks at some of the running jobs, the next ones each time.
+func (e *Engine) watchStragglers(now time.Time) {
+	for range min(stragglersPerTick, e.running.len()) {
+		e.watched = (e.watched + 1) % e.running.len()
+		e.watchStraggler(e.running.list[e.watched], now)
+	}
+}
+
 // watchLeases gives up pieces whose worker has been silent for so long that
 // its own clock has ended the lease.
 func (e *Engine) watchLeases(job *Job, now time.Time) {
@@ -347,7 +378,7 @@
 }
 
 func (e *Engine) watchStraggler(job *Job, now time.Time) {
-	if job.Straggler || job.Started.IsZero() {
+	if job.Straggler || job.State != StateRunning {
 		return
 	}
 	mean, known := e.learnt.means[keyOf(&job.Spec)]
--- a/placer/schedule.go
+++ b/placer/schedule.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"cranberrystack.dev/cranberrystack/configurer"
 	"cranberrystack.dev/cranberrystack/identifier"
 	"cranberrystack.dev/cranberrystack/packer"
 )
@@ -55,7 +56,7 @@
 		return e.startHeld(job, h, unit, now)
 	}
 	accelerator := job.Spec.Accelerator
-	slots := e.freeSlots(accelerator, job, now)
+	slots := e.claimSlots(accelerator, job, now)
 	place, fits := packer.Find(e.unclaimed(accelerator, slots), unit.Shape)
 	if fits && e.keepsGuarantees(accelerator, place, unit) {
 		pieces, _ := packer.Find(within(slots, place, unit.Shape), job.Spec.Shape)
@@ -66,6 +67,13 @@
 	return e.reclaim(job, unit, now)
 }
 
+// claimSlots shows what may be given to a claim within a guarantee now.
+func (e *Engine) claimSlots(accelerator string, job *Job, now time.Time) []packer.Slot {
+	slots := e.openSlots(accelerator, job, now)
+	e.subtractHolds(accelerator, slots, job, true)
+	return slots
+}
+
 // unclaimed limits free space to what is in no guaranteed job's place.
 func (e *Engine) unclaimed(accelerator string, slots []packer.Slot) []packer.Slot {
 	limited := append([]packer.Slot(nil), slots...)
@@ -89,7 +97,7 @@
 
 // startHeld starts a job in its held place once the borrowers are gone.
 func (e *Engine) startHeld(job *Job, h *hold, unit Unit, now time.Time) bool {
-	slots := e.freeSlots(job.Spec.Accelerator, job, now)
+	slots := e.claimSlots(job.Spec.Accelerator, job, now)
 	for _, piece := range h.pieces {
 		if piece.Slot >= len(slots) || slots[piece.Slot].Free < piece.Parts*job.Spec.Shape.PerPart {
 			return true
@@ -114,7 +122,15 @@
 	urgent      bool
 }
 
+// keyOf returns the job's key, worked out once each time it is queued.
 func (e *Engine) keyOf(job *Job) shapeKey {
+	if job.key.accelerator == "" {
+		job.key = e.newKey(job)
+	}
+	return job.key
+}
+
+func (e *Engine) newKey(job *Job) shapeKey {
 	spec := &job.Spec
 	return shapeKey{
 		plan: spec.Plan, accelerator: spec.Accelerator, shape: spec.Shape, urgent: spec.Urgent,
@@ -128,10 +144,11 @@
 	share float64
 }
 
-// startBorrowers starts what fits into free space. Once a gang that has waited
-// long does not fit, a place is held for it, so that small jobs do not keep
-// taking the pieces of it.
+// startBorrowers starts what fits into free space, has room made for gangs
+// where it is only scattered, and leaves what is gathered for a gang that has
+// waited long.
 func (e *Engine) startBorrowers(jobs []*Job, now time.Time) {
+	gatherings := e.gatherForGangs(jobs, now)
 	lanes := e.lanes(jobs)
 	failed := map[shapeKey]bool{}
 	for {
@@ -142,15 +159,19 @@
 		job := next.jobs[0]
 		next.jobs = next.jobs[1:]
 		key := e.keyOf(job)
+		gathering := gatherings[job.Spec.Accelerator]
 		_, held := e.holds[job.Spec.ID]
-		if (failed[key] && !held) || !e.withinLimits(job) {
+		switch {
+		case job.State != StateQueued, failed[key] && !held, !e.withinLimits(job):
 			continue
-		}
-		if !e.startBorrower(job, now) {
+		case !gathering.leaves(job, now.Add(key.expected)):
+			continue
+		case !e.startBorrower(job, now):
 			failed[key] = true
-			e.reserve(job, now)
+			e.compact(job, now)
 			continue
 		}
+		gathering.take(job)
 		for _, l := range lanes {
 			if len(l.jobs) > 0 && l.jobs[0].Spec.Plan == job.Spec.Plan {
 				l.share = e.dominantShare(l.jobs[0])
@@ -247,18 +268,29 @@
 	return fits
 }
 
+// maxReserved bounds the places reserved of one kind of accelerator: more
+// would keep too much empty.
+const maxReserved = 1
+
 // reserve holds the place that is expected to become free first for a gang
-// that has waited long. One hold a kind of accelerator is enough: more would
-// keep too much empty.
+// that has waited long.
 func (e *Engine) reserve(job *Job, now time.Time) {
 	if job.Spec.Shape.Total() < 2 || now.Sub(job.Submitted) < e.options.reserveAfter {
 		return
 	}
+	if now.Before(e.reserveNext) {
+		return
+	}
+	e.reserveNext = now.Add(retryInterval)
+	reserved := 0
 	for _, h := range e.holds {
 		if h.accelerator == job.Spec.Accelerator && !h.reclaiming {
-			return
+			reserved++
 		}
 	}
+	if reserved >= maxReserved {
+		return
+	}
 	pieces, at, found := e.soonest(job, now)
 	if !found {
 		return
@@ -364,7 +396,7 @@
 		})
 	}
 	e.usage.add(job, 1)
-	e.running.add(job)
+	e.addRunning(job)
 	e.enter(job, StateLeasing, now)
 	for i := range job.Pieces {
 		e.occupy(job, &job.Pieces[i])
@@ -375,22 +407,46 @@
 	}
 }
 
+// maxPromotions bounds the borrowers that one look tries to promote.
+const maxPromotions = 8
+
 // promote marks borrowers as guaranteed where their plan's guarantee has room
 // and no other guarantee loses its place.
 func (e *Engine) promote() {
-	for _, job := range e.running.all() {
-		if job.Guaranteed || job.State == StateStopping || job.adopting {
+	tries := 0
+	for _, allowance := range e.lists.allowances {
+		running, known := e.byPlan[planUse{allowance.Plan, allowance.Accelerator}]
+		if !known || !e.hasFreeUnit(allowance) {
 			continue
 		}
-		unit, found := e.freeUnit(&job.Spec)
-		if !found {
-			continue
+		for _, job := range running.all() {
+			if job.Guaranteed || job.State == StateStopping || job.adopting {
+				continue
+			}
+			unit, found := e.freeUnit(&job.Spec)
+			if !found {
+				continue
+			}
+			if tries++; tries > maxPromotions {
+				return
+			}
+			place, fits := e.placeAround(job, unit)
+			if fits && e.keepsGuarantees(job.Spec.Accelerator, place, unit) {
+				e.setGuaranteed(job, unit, place)
+			}
 		}
-		place, fits := e.placeAround(job, unit)
-		if fits && e.keepsGuarantees(job.Spec.Accelerator, place, unit) {
-			e.setGuaranteed(job, unit, place)
+	}
+}
+
+// hasFreeUnit reports whether any guarantee of an allowance is unused here.
+func (e *Engine) hasFreeUnit(allowance configurer.Allowance) bool {
+	for _, guarantee := range allowance.Guarantees {
+		unit := Unit{Plan: allowance.Plan, Accelerator: allowance.Accelerator, Shape: guarantee.Shape}
+		if e.usage.units[unit] < e.unitShare(allowance, guarantee.Shape) {
+			return true
 		}
 	}
+	return false
 }
 
 // placeAround returns a place of a guaranteed shape that holds a running job's
--- a/placer/slots.go
+++ b/placer/slots.go
@@ -39,10 +39,17 @@
 	return slots
 }
 
-// freeSlots shows what may be given out now. A worker that is silent, leaving,
-// set aside or not yet heard by this owner has nothing free, and what is held
-// for a waiting job is free only to that job.
+// freeSlots shows what may be given to a job now, or to any if the job is nil.
+// What is held for other waiting jobs is not free.
 func (e *Engine) freeSlots(accelerator string, job *Job, now time.Time) []packer.Slot {
+	slots := e.openSlots(accelerator, job, now)
+	e.subtractHolds(accelerator, slots, job, false)
+	return slots
+}
+
+// openSlots shows the free space without regard to holds. A worker that is
+// silent, leaving, set aside or not yet heard by this owner has nothing free.
+func (e *Engine) openSlots(accelerator string, job *Job, now time.Time) []packer.Slot {
 	order := e.order[accelerator]
 	slots := make([]packer.Slot, len(order))
 	for i, w := range order {
@@ -53,17 +60,25 @@
 		}
 		slots[i].Closed = true
 	}
-	for id, h := range e.holds {
-		if h.accelerator == accelerator && (job == nil || id != job.Spec.ID) {
-			h.subtract(slots)
-		}
-	}
 	if job != nil {
 		e.avoidFailed(job, slots)
 	}
 	return slots
 }
 
+// subtractHolds takes off what is held for others. A claim within a guarantee
+// respects only the holds of other such claims.
+func (e *Engine) subtractHolds(accelerator string, slots []packer.Slot, job *Job, claim bool) {
+	for id, h := range e.holds {
+		if h.accelerator != accelerator || (job != nil && id == job.Spec.ID) {
+			continue
+		}
+		if !claim || h.claims() {
+			h.subtract(slots)
+		}
+	}
+}
+
 func (e *Engine) usable(w *workerState, now time.Time) bool {
 	return !w.info.Leaving && now.Sub(w.heard) < e.options.silence && !now.Before(w.quarantined)
 }
@@ -129,6 +144,21 @@
 	place      []packer.Piece
 }
 
+// claims reports whether the hold is for a claim within a guarantee.
+func (h *hold) claims() bool { return h.unit != Unit{} }
+
+// overlaps reports whether two holds share a worker.
+func (h *hold) overlaps(other *hold) bool {
+	for _, left := range h.workers {
+		for _, right := range other.workers {
+			if left == right {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // subtract takes the held space from what is free to others.
 func (h *hold) subtract(slots []packer.Slot) {
 	for i, piece := range h.pieces {
--- a/placer/status.go
+++ b/placer/status.go
@@ -20,7 +20,7 @@
 // Status returns a description of the engine's jobs and workers.
 func (e *Engine) Status(now time.Time) Status {
 	status := Status{
-		Workers: len(e.workers), Queued: len(e.queue), Running: len(e.running.all()),
+		Workers: len(e.workers), Queued: len(e.queue), Running: e.running.len(),
 		Accelerators: map[string]int{}, Used: map[string]int{},
 	}
 	for _, w := range e.workers {
