--- a/claimer/group.go
+++ b/claimer/group.go
@@ -89,22 +89,42 @@
 	// have granted.
 	ready  bool
 	active map[identifier.AttemptID]bool
+	// keeper puts every change of the table on disk, if there is one. Its lock
+	// is taken after mu.
+	keeper *keeper
 
 	stop chan struct{}
 	done sync.WaitGroup
 }
 
-// New returns a claimer that still has to recover. peers are the other
-// instances of the group, the same on every instance.
-func New(self identifier.InstanceID, incarnation identifier.Incarnation, dataCenter identifier.DataCenterID, peers []Peer, m *messenger.Messenger, seams Seams, opts ...Option) *Claimer {
+// New returns a claimer. peers are the other instances of the group, the same
+// on every instance. It still has to recover from them, unless a folder is
+// given that holds all that it ever granted.
+func New(self identifier.InstanceID, incarnation identifier.Incarnation, dataCenter identifier.DataCenterID, peers []Peer, m *messenger.Messenger, seams Seams, opts ...Option) (*Claimer, error) {
 	o := newOptions(opts...)
-	return &Claimer{
+	c := &Claimer{
 		self: self, incarnation: incarnation, dataCenter: dataCenter, peers: peers,
 		messenger: m, options: o, seams: seams,
 		table:  NewTable(o.keep, o.maxBytes),
 		active: map[identifier.AttemptID]bool{},
 		stop:   make(chan struct{}),
 	}
+	keeper, claims, complete, err := openKeeper(o.dir, c.allClaims)
+	if err != nil {
+		return nil, err
+	}
+	c.keeper = keeper
+	if complete {
+		c.table.Load(claims, time.Now())
+		c.ready = true
+	}
+	return c, nil
+}
+
+func (c *Claimer) allClaims() []Claim {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.All()
 }
 
 // Start begins to recover the claims from the group.
@@ -112,10 +132,11 @@
 	c.done.Go(c.recover)
 }
 
-// Stop ends the recovery.
+// Stop ends the recovery and the writing to disk.
 func (c *Claimer) Stop() {
 	close(c.stop)
 	c.done.Wait()
+	c.keeper.close()
 }
 
 // Ready reports whether the instance has recovered.
@@ -156,6 +177,7 @@
 	}
 	own := c.table.Claim(wanted, replaces, time.Now())
 	c.active[wanted.Attempt] = own.Granted
+	kept := c.keepGrant(own, wanted)
 	c.mu.Unlock()
 	if !own.Granted {
 		c.Done(wanted.Attempt)
@@ -167,6 +189,9 @@
 		return *own.Existing, false, nil
 	}
 	granted, existing := c.ask(ctx, wanted, replaces)
+	if err := <-kept; err != nil {
+		return Claim{}, false, fmt.Errorf("%w: %w", ErrNoQuorum, err)
+	}
 	if granted+1 >= c.majority() {
 		return wanted, true, nil
 	}
@@ -177,6 +202,26 @@
 	return Claim{}, false, ErrNoQuorum
 }
 
+// keepGrant puts a grant on disk; the caller holds mu.
+func (c *Claimer) keepGrant(grant Grant, wanted Claim) <-chan error {
+	if !grant.Granted {
+		none := make(chan error, 1)
+		none <- nil
+		return none
+	}
+	return c.keeper.add(change{Put: &wanted})
+}
+
+// keepNow puts the claim of an id on disk as it now stands; the caller holds
+// mu.
+func (c *Claimer) keepNow(id ID) <-chan error {
+	claim, known := c.table.Get(id)
+	if !known {
+		return c.keeper.add(change{Drop: &id})
+	}
+	return c.keeper.add(change{Put: &claim})
+}
+
 // ask sends the wish to all others and returns the number of grants as soon as
 // they suffice or all have answered.
 func (c *Claimer) ask(ctx context.Context, wanted Claim, replaces identifier.AttemptID) (int, *Claim) {
@@ -218,6 +263,7 @@
 	c.mu.Lock()
 	c.table.Finish(claim, time.Now())
 	delete(c.active, claim.Attempt)
+	c.keepNow(claim.ID)
 	c.mu.Unlock()
 	kept := make(chan bool, len(c.peers))
 	for _, peer := range c.peers {
@@ -241,6 +287,7 @@
 	c.mu.Lock()
 	c.table.Release(id, attempt)
 	delete(c.active, attempt)
+	c.keepNow(id)
 	c.mu.Unlock()
 	var calls sync.WaitGroup
 	for _, peer := range c.peers {
@@ -321,12 +368,19 @@
 		return
 	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if !c.ready {
+		c.mu.Unlock()
 		g.Status(http.StatusServiceUnavailable)
 		return
 	}
-	g.JSON(http.StatusOK, c.table.Claim(message.Claim, message.Replaces, time.Now()))
+	grant := c.table.Claim(message.Claim, message.Replaces, time.Now())
+	kept := c.keepGrant(grant, message.Claim)
+	c.mu.Unlock()
+	if err := <-kept; err != nil {
+		g.Status(http.StatusServiceUnavailable)
+		return
+	}
+	g.JSON(http.StatusOK, grant)
 }
 
 func (c *Claimer) handleFinish(g *gin.Context) {
@@ -337,6 +391,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.table.Finish(claim, time.Now())
+	c.keepNow(claim.ID)
 	g.Status(http.StatusNoContent)
 }
 
@@ -348,6 +403,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.table.Release(message.ID, message.Attempt)
+	c.keepNow(message.ID)
 	g.Status(http.StatusNoContent)
 }
 
@@ -398,6 +454,9 @@
 }
 
 func (c *Claimer) tryRecover() bool {
+	if c.Ready() {
+		return true
+	}
 	group := c.seams.Group()
 	if group.Starters[c.self] == c.incarnation && group.Generation > 0 {
 		c.becomeReady(nil)
@@ -438,6 +497,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.table.Load(claims, time.Now())
+	for i := range claims {
+		c.keepNow(claims[i].ID)
+	}
+	c.keeper.add(change{Begun: true})
 	c.ready = true
 }
 
--- a/claimer/options.go
+++ b/claimer/options.go
@@ -15,6 +15,7 @@
 	keep        time.Duration
 	maxBytes    int64
 	callTimeout time.Duration
+	dir         string
 }
 
 // Option changes how a claimer behaves.
@@ -37,3 +38,9 @@
 func MaxBytes(limit int64) Option {
 	return func(o *options) { o.maxBytes = limit }
 }
+
+// Dir keeps the claims in a folder, so that a restarted instance knows at once
+// all that it granted.
+func Dir(dir string) Option {
+	return func(o *options) { o.dir = dir }
+}
--- a/cranberryd/cluster/history_test.go
+++ b/cranberryd/cluster/history_test.go
@@ -102,7 +102,11 @@
 		sends   = 30
 	)
 	random := rand.New(rand.NewPCG(seed, 7))
-	c := newCluster(t, trio())
+	members := trio() // claims on disk
+	if seed%2 == 1 {
+		members = controlAndEntries() // claims in memory only
+	}
+	c := newCluster(t, members)
 	defer c.close()
 	book := &ledger{runs: map[string][]string{}}
 	for _, name := range []string{"u1", "u2", "u3"} {
--- a/cranberryd/cluster/requests_test.go
+++ b/cranberryd/cluster/requests_test.go
@@ -307,22 +307,43 @@
 }
 
 func TestResendToAnotherEntryAfterRestart(t *testing.T) {
-	withCluster(t, trio(), func(t *testing.T, c *cluster) {
-		c.twoUpstreams(nil)
-		for i := range 5 {
-			c.post("a", isukuRequest(fmt.Sprint("dc1:kept-", i)), fmt.Sprint("kept ", i))
+	for name, members := range map[string][]member{"claims on disk": trio(), "claims in memory": controlAndEntries()} {
+		t.Run(name, func(t *testing.T) { withCluster(t, members, resendAfterRestarts) })
+	}
+}
+
+func resendAfterRestarts(t *testing.T, c *cluster) {
+	c.twoUpstreams(nil)
+	for i := range 5 {
+		c.post("a", isukuRequest(fmt.Sprint("dc1:kept-", i)), fmt.Sprint("kept ", i))
+	}
+	for _, id := range []identifier.InstanceID{"a", "b"} {
+		c.kill(id)
+		c.start(id)
+		c.waitReady()
+	}
+	for i := range 5 {
+		body := fmt.Sprint("kept ", i)
+		answer := c.post("b", isukuRequest(fmt.Sprint("dc1:kept-", i)), body)
+		if answer.body != "done "+body || c.runsOf(body) != 1 {
+			t.Errorf("resend %d: got %d %q, ran %d times", i, answer.status, answer.body, c.runsOf(body))
 		}
-		for _, id := range []identifier.InstanceID{"a", "b"} {
-			c.kill(id)
-			c.start(id)
-			c.waitReady()
-		}
-		for i := range 5 {
-			body := fmt.Sprint("kept ", i)
-			answer := c.post("b", isukuRequest(fmt.Sprint("dc1:kept-", i)), body)
-			if answer.body != "done "+body || c.runsOf(body) != 1 {
-				t.Errorf("resend %d: got %d %q, ran %d times", i, answer.status, answer.body, c.runsOf(body))
-			}
+	}
+}
+
+// TestOnlyEntryRestarts restarts the only entry of a data centre, whose claims
+// are on its disk.
+func TestOnlyEntryRestarts(t *testing.T) {
+	withCluster(t, []member{{"a", "dc1", allRoles}}, func(t *testing.T, c *cluster) {
+		c.addUpstream("u1", 4, "dc1")
+		c.prepare()
+		c.post("a", isukuRequest("dc1:kept"), "kept")
+		c.kill("a")
+		c.start("a")
+		c.waitReady()
+		answer := c.post("a", isukuRequest("dc1:kept"), "kept")
+		if answer.body != "done kept" || c.runsOf("kept") != 1 {
+			t.Errorf("got %d %q, ran %d times, want the kept answer and 1", answer.status, answer.body, c.runsOf("kept"))
 		}
 	})
 }
--- a/cranberryd/entry/entry.go
+++ b/cranberryd/entry/entry.go
@@ -5,7 +5,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
+	"path/filepath"
 
 	"github.com/gin-gonic/gin"
 	"github.com/google/uuid"
@@ -33,6 +35,8 @@
 // Role is the role of instances that callers talk to.
 const Role = "entry"
 
+const claimFolder = "claims"
+
 func init() {
 	kernel.Register(kernel.Plugin{
 		Name: Role, Summary: "takes requests and jobs from callers",
@@ -64,7 +68,7 @@
 	return peers
 }
 
-func newClaimer(lifecycle fx.Lifecycle, settings *loader.Settings, a *announcer.Announcer, m *messenger.Messenger, f *configurer.Follower, client *controller.Client, r *recorder.Recorder) *claimer.Claimer {
+func newClaimer(lifecycle fx.Lifecycle, settings *loader.Settings, a *announcer.Announcer, m *messenger.Messenger, f *configurer.Follower, client *controller.Client, r *recorder.Recorder) (*claimer.Claimer, error) {
 	seams := claimer.Seams{
 		Group: func() configurer.ClaimGroup {
 			view := f.View()
@@ -76,12 +80,19 @@
 			return err
 		},
 	}
-	c := claimer.New(settings.Instance, a.Self().Incarnation, settings.DataCenter, claimPeers(settings), m, seams,
+	dir := ""
+	if settings.DataFolder != "" {
+		dir = filepath.Join(settings.DataFolder, claimFolder)
+	}
+	c, err := claimer.New(settings.Instance, a.Self().Incarnation, settings.DataCenter, claimPeers(settings), m, seams,
 		claimer.Keep(settings.Requests.KeepAnswers.Std()),
-		claimer.MaxBytes(settings.Requests.ClaimBytes))
+		claimer.MaxBytes(settings.Requests.ClaimBytes), claimer.Dir(dir))
+	if err != nil {
+		return nil, fmt.Errorf("open the claims: %w", err)
+	}
 	r.Publish("claims", func() any { return c.Usage() })
 	lifecycle.Append(fx.StartStopHook(c.Start, c.Stop))
-	return c
+	return c, nil
 }
 
 func newDispatcher(lifecycle fx.Lifecycle, settings *loader.Settings, reg *registrar.Registrar, c *claimer.Claimer, r *recorder.Recorder, dial messenger.Dial, f *configurer.Follower, a *announcer.Announcer) *dispatcher.Dispatcher {
