Reports of workers in parts; claims split into files; proofs listed

Cause: a whole report of 28 leases is about 3 KB, so that 175 workers of a data centre would cost its owner 105 KB/s at one report in 5 s, against 26 KB/s. Reports now come every 10 s and hold only what has changed; one in six is whole, and so is the first to a new owner.

--- /dev/null
+++ b/claimer/recovery.go
@@ -0,0 +1,114 @@
+package claimer
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"cranberrystack.dev/cranberrystack/configurer"
+	"cranberrystack.dev/cranberrystack/identifier"
+)
+
+// recover fills the table. An instance that has restarted knows nothing of
+// what it granted before, so it grants nothing until it has copied from
+// enough others that every claim of a majority is among what it read.
+func (c *Claimer) recover() {
+	for !c.tryRecover() {
+		select {
+		case <-c.stop:
+			return
+		case <-time.After(recoverInterval):
+		}
+	}
+}
+
+func (c *Claimer) tryRecover() bool {
+	if c.Ready() {
+		return true
+	}
+	group := c.seams.Group()
+	if group.Starters[c.self] == c.incarnation && group.Generation > 0 {
+		c.becomeReady(nil)
+		return true
+	}
+	needed := len(c.peers) + 1 - c.majority() + 1
+	var claims []Claim
+	copied := 0
+	for _, peer := range c.peers {
+		answer, err := c.dump(peer)
+		if err != nil || !answer.Ready {
+			continue
+		}
+		claims = append(claims, answer.Claims...)
+		copied++
+	}
+	if copied > 0 && copied >= min(needed, len(c.peers)) {
+		c.becomeReady(claims)
+		return true
+	}
+	if group.Generation == 0 {
+		_ = c.proposeStart(group) // tried again at the next turn
+	}
+	return false
+}
+
+func (c *Claimer) dump(peer Peer) (dumpAnswer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), c.options.callTimeout*4)
+	defer cancel()
+	var answer dumpAnswer
+	if err := c.messenger.Get(ctx, peer.Address, dumpPath, &answer); err != nil {
+		return dumpAnswer{}, fmt.Errorf("copy claims from %s: %w", peer.ID, err)
+	}
+	return answer, nil
+}
+
+func (c *Claimer) becomeReady(claims []Claim) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.Load(claims, time.Now())
+	for i := range claims {
+		c.keepNow(claims[i].ID)
+	}
+	c.keeper.add(change{Begun: true})
+	c.ready = true
+}
+
+// proposeStart asks for an empty table. All of the group have to be up and
+// without claims, since an absent one may know some.
+func (c *Claimer) proposeStart(group configurer.ClaimGroup) error {
+	starters := map[identifier.InstanceID]identifier.Incarnation{c.self: c.incarnation}
+	for _, peer := range c.peers {
+		state, err := c.state(peer)
+		if err != nil {
+			return err
+		}
+		if state.Ready {
+			return fmt.Errorf("%s: %w", peer.ID, ErrHasClaims)
+		}
+		starters[peer.ID] = state.Incarnation
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
+	defer cancel()
+	next := configurer.ClaimGroup{DataCenter: c.dataCenter, Generation: group.Generation + 1, Starters: starters}
+	return c.seams.Propose(ctx, next)
+}
+
+// Reset starts the data centre's claims anew after all of its entry instances
+// have lost theirs. Requests that ran before may run again under their keys.
+// It fails with ErrHasClaims while any instance of the group has claims.
+func (c *Claimer) Reset() error {
+	if c.Ready() {
+		return fmt.Errorf("%s: %w", c.self, ErrHasClaims)
+	}
+	return c.proposeStart(c.seams.Group())
+}
+
+func (c *Claimer) state(peer Peer) (stateAnswer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), c.options.callTimeout)
+	defer cancel()
+	var answer stateAnswer
+	if err := c.messenger.Get(ctx, peer.Address, statePath, &answer); err != nil {
+		return stateAnswer{}, fmt.Errorf("ask %s for its claims: %w", peer.ID, err)
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/claimer/routes.go
@@ -0,0 +1,137 @@
+package claimer
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"cranberrystack.dev/cranberrystack/identifier"
+	"cranberrystack.dev/cranberrystack/responder"
+)
+
+type claimMessage struct {
+	Claim    Claim                `json:"claim"`
+	Replaces identifier.AttemptID `json:"replaces,omitempty"`
+}
+
+type releaseMessage struct {
+	ID      ID                   `json:"id"`
+	Attempt identifier.AttemptID `json:"attempt"`
+}
+
+type activeMessage struct {
+	Attempt identifier.AttemptID `json:"attempt"`
+}
+
+type activeAnswer struct {
+	Active bool `json:"active"`
+}
+
+type stateAnswer struct {
+	Ready       bool                   `json:"ready"`
+	Incarnation identifier.Incarnation `json:"incarnation"`
+}
+
+type dumpAnswer struct {
+	Ready  bool    `json:"ready"`
+	Claims []Claim `json:"claims"`
+}
+
+// Routes adds the handlers that the group calls.
+func (c *Claimer) Routes(router gin.IRouter) {
+	router.POST(claimPath, c.handleClaim)
+	router.POST(finishPath, c.handleFinish)
+	router.POST(releasePath, c.handleRelease)
+	router.POST(activePath, c.handleActive)
+	router.POST(fetchPath, c.handleFetch)
+	router.GET(statePath, c.handleState)
+	router.GET(dumpPath, c.handleDump)
+}
+
+type fetchMessage struct {
+	ID ID `json:"id"`
+}
+
+type fetchAnswer struct {
+	Known bool  `json:"known"`
+	Claim Claim `json:"claim"`
+}
+
+func (c *Claimer) handleClaim(g *gin.Context) {
+	var message claimMessage
+	if !responder.Decode(g, maxMessageBytes, &message) {
+		return
+	}
+	c.mu.Lock()
+	if !c.ready {
+		c.mu.Unlock()
+		g.Status(http.StatusServiceUnavailable)
+		return
+	}
+	grant := c.table.Claim(message.Claim, message.Replaces, time.Now())
+	kept := c.keepGrant(grant, message.Claim)
+	c.mu.Unlock()
+	if err := <-kept; err != nil {
+		g.Status(http.StatusServiceUnavailable)
+		return
+	}
+	g.JSON(http.StatusOK, grant)
+}
+
+func (c *Claimer) handleFinish(g *gin.Context) {
+	var claim Claim
+	if !responder.Decode(g, maxMessageBytes, &claim) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.Finish(claim, time.Now())
+	c.keepNow(claim.ID)
+	g.Status(http.StatusNoContent)
+}
+
+func (c *Claimer) handleRelease(g *gin.Context) {
+	var message releaseMessage
+	if !responder.Decode(g, maxMessageBytes, &message) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.Release(message.ID, message.Attempt)
+	c.keepNow(message.ID)
+	g.Status(http.StatusNoContent)
+}
+
+func (c *Claimer) handleActive(g *gin.Context) {
+	var message activeMessage
+	if !responder.Decode(g, maxMessageBytes, &message) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	g.JSON(http.StatusOK, activeAnswer{Active: c.active[message.Attempt]})
+}
+
+func (c *Claimer) handleFetch(g *gin.Context) {
+	var message fetchMessage
+	if !responder.Decode(g, maxMessageBytes, &message) {
+		return
+	}
+	claim, known := c.Lookup(message.ID)
+	g.JSON(http.StatusOK, fetchAnswer{Known: known, Claim: claim})
+}
+
+func (c *Claimer) handleState(g *gin.Context) {
+	g.JSON(http.StatusOK, stateAnswer{Ready: c.Ready(), Incarnation: c.incarnation})
+}
+
+func (c *Claimer) handleDump(g *gin.Context) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	answer := dumpAnswer{Ready: c.ready}
+	if c.ready {
+		answer.Claims = c.table.All()
+	}
+	g.JSON(http.StatusOK, answer)
+}
--- a/configurer/state.go
+++ b/configurer/state.go
@@ -143,13 +143,7 @@
 	if next.Epoch != current.Epoch+1 {
 		return Result{Reason: fmt.Sprintf("epoch %d is in force", current.Epoch)}
 	}
-	owners := []Ownership{next}
-	for _, other := range s.stored.View.Owners {
-		if other.DataCenter != next.DataCenter {
-			owners = append(owners, other)
-		}
-	}
-	sort.Slice(owners, func(i, j int) bool { return owners[i].DataCenter < owners[j].DataCenter })
+	owners := replaced(s.stored.View.Owners, next, Ownership.key)
 	s.stored.View.Owners = owners
 	s.stored.View.Index = index
 	return Result{Accepted: true}
@@ -160,18 +154,29 @@
 	if next.Generation != current.Generation+1 {
 		return Result{Reason: fmt.Sprintf("generation %d is in force", current.Generation)}
 	}
-	groups := []ClaimGroup{next}
-	for _, other := range s.stored.View.Groups {
-		if other.DataCenter != next.DataCenter {
-			groups = append(groups, other)
-		}
-	}
-	sort.Slice(groups, func(i, j int) bool { return groups[i].DataCenter < groups[j].DataCenter })
+	groups := replaced(s.stored.View.Groups, next, ClaimGroup.key)
 	s.stored.View.Groups = groups
 	s.stored.View.Index = index
 	return Result{Accepted: true}
 }
 
+// replaced returns entries with one a data centre, in order, in which next
+// takes the place of its data centre's.
+func replaced[T any](entries []T, next T, key func(T) identifier.DataCenterID) []T {
+	all := []T{next}
+	for _, other := range entries {
+		if key(other) != key(next) {
+			all = append(all, other)
+		}
+	}
+	sort.Slice(all, func(i, j int) bool { return key(all[i]) < key(all[j]) })
+	return all
+}
+
+func (o Ownership) key() identifier.DataCenterID { return o.DataCenter }
+
+func (g ClaimGroup) key() identifier.DataCenterID { return g.DataCenter }
+
 func (s *State) remember(requestID string, result Result) {
 	s.outcomes[requestID] = result
 	s.stored.Outcomes = append(s.stored.Outcomes, storedOutcome{RequestID: requestID, Result: result})
--- a/cranberrybench/jobmeter/decisions.go
+++ b/cranberrybench/jobmeter/decisions.go
@@ -1,6 +1,7 @@
 package jobmeter
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"runtime"
@@ -31,7 +32,7 @@
 		Title: "jobs, one decision against the number of workers", Seed: seed,
 		Columns: []string{"50", "200", "700"},
 	}
-	var tasks, p50, p99, memory, reports []float64
+	var tasks, p50, p99, memory, reports, whole, partial, kept []float64
 	for _, workers := range []int{50, 200, 700} {
 		m := measureSize(seed, workers)
 		tasks = append(tasks, float64(m.running))
@@ -39,11 +40,17 @@
 		p99 = append(p99, float64(m.quantile(0.99).Microseconds()))
 		memory = append(memory, float64(m.bytes)/(1<<20))
 		reports = append(reports, float64(m.report.Microseconds()))
+		whole = append(whole, float64(m.wholeBytes))
+		partial = append(partial, float64(m.partialBytes))
+		kept = append(kept, float64(m.keptBytes))
 	}
 	r.Add("running tasks", "count", "", tasks...)
 	r.Add("decision p50", "us", "", p50...)
 	r.Add("decision p99", "us", "< 1000 at 700", p99...)
 	r.Add("taking one worker's report", "us", "", reports...)
+	r.Add("a whole report", "B", "", whole...)
+	r.Add("a partial report", "B", "", partial...)
+	r.Add("a change kept on disk and copies", "B", "", kept...)
 	r.Add("engine and stand-ins, heap", "MB", "", memory...)
 	return r
 }
@@ -53,6 +60,9 @@
 	took    []time.Duration
 	report  time.Duration
 	bytes   uint64
+	// wholeBytes and partialBytes are the sizes of reports, keptBytes that of
+	// one changed job.
+	wholeBytes, partialBytes, keptBytes int
 }
 
 func (m *sizeMeasure) quantile(quantile float64) time.Duration {
@@ -108,10 +118,33 @@
 		p.settle(now)
 	}
 	m.report /= decisions
+	m.measureBytes(p, now)
 	m.running = p.engine.Status(now).Running
 	return m
 }
 
+func (m *sizeMeasure) measureBytes(p *placed, now time.Time) {
+	s := p.workers[0]
+	leases := s.table.All(now)
+	m.wholeBytes = size(placer.Report{Worker: s.info, Sequence: s.sequence, Leases: leases})
+	m.partialBytes = size(placer.Report{Worker: s.info, Sequence: s.sequence, Partial: true})
+	for _, lease := range leases {
+		if job, known := p.states[lease.ID.Job]; known {
+			m.keptBytes = size(job)
+			return
+		}
+	}
+}
+
+// size returns the length of a value's JSON form.
+func size(value any) int {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return 0
+	}
+	return len(data)
+}
+
 // reportInTurn lets each worker report every few seconds.
 func (p *placed) reportInTurn(now time.Time) {
 	each := max(len(p.workers)/reportTurns, 1)
--- a/cranberrybench/requestmeter/load.go
+++ b/cranberrybench/requestmeter/load.go
@@ -173,8 +173,9 @@
 	return took[len(took)/2]
 }
 
-// closedLoop sends as fast as so many callers can and returns the answers.
-func (l *load) closedLoop(callers int, length time.Duration) int {
+// closedLoop sends as fast as so many callers can, through the system or
+// straight to a handler, and returns the number of answers.
+func (l *load) closedLoop(callers int, length time.Duration, straight bool) int {
 	var mu sync.Mutex
 	total := 0
 	var running sync.WaitGroup
@@ -182,8 +183,12 @@
 	for caller := range callers {
 		running.Go(func() {
 			done := 0
+			target := l.targets[caller%(len(l.targets)-1)]
+			if straight {
+				target = l.upstreamAddress
+			}
 			for time.Now().Before(end) {
-				if l.send(l.targets[caller%(len(l.targets)-1)], instant) {
+				if l.send(target, instant) {
 					done++
 				}
 			}
--- a/cranberrybench/requestmeter/requestmeter.go
+++ b/cranberrybench/requestmeter/requestmeter.go
@@ -24,6 +24,9 @@
 	crestTime  = 10 * time.Second
 	mildTime   = 8 * time.Second
 	straggling = 12 * time.Second
+	// closedCallers send as fast as they can for closedTime.
+	closedCallers = 32
+	closedTime    = 5 * time.Second
 )
 
 // capacity is the number of short requests a second that the slots allow.
@@ -43,6 +46,9 @@
 	p99Without, p99With                  time.Duration
 	added                                time.Duration
 	perCore, allocations                 float64
+	// perRequest is the processor time of a request beyond that of one sent
+	// straight to a handler.
+	perRequest time.Duration
 }
 
 // Measure measures the baseline and the daemons one after the other.
@@ -115,16 +121,24 @@
 func measureCost(load *load, f *figures) {
 	direct := load.median(load.upstreamAddress, 2000)
 	f.added = load.median("", 2000) - direct
+	alone, _ := load.cost(true)
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
-	cpu := processTime()
-	done := load.closedLoop(32, 5*time.Second)
-	spent := processTime() - cpu
+	through, done := load.cost(false)
 	runtime.ReadMemStats(&after)
-	f.perCore = float64(done) / spent.Seconds()
+	f.perCore = 1 / through.Seconds()
+	f.perRequest = through - alone
 	f.allocations = float64(after.Mallocs-before.Mallocs) / float64(max(done, 1))
 }
 
+// cost returns the processor time of one request, clients included, and the
+// number sent.
+func (l *load) cost(straight bool) (time.Duration, int) {
+	cpu := processTime()
+	done := l.closedLoop(closedCallers, closedTime, straight)
+	return (processTime() - cpu) / time.Duration(max(done, 1)), done
+}
+
 // processTime returns the processor time that the whole process has used.
 func processTime() time.Duration {
 	var usage syscall.Rusage
@@ -156,6 +170,7 @@
 	add("  with over without", "ratio", "<= 1.5", float64(base.p99With)/float64(base.p99Without), float64(own.p99With)/float64(own.p99Without))
 	add("latency added at the median", "ms", "< 1", milliseconds(base.added), milliseconds(own.added))
 	add("requests a second per core, clients included", "1/s", "", base.perCore, own.perCore)
+	add("processor time a request, entry and upstream", "us", "", float64(base.perRequest.Microseconds()), float64(own.perRequest.Microseconds()))
 	add("allocations a request, clients included", "count", "", base.allocations, own.allocations)
 	return r
 }
--- a/cranberryd/loader/loader.go
+++ b/cranberryd/loader/loader.go
@@ -303,7 +303,7 @@
 		},
 		Jobs: Jobs{
 			Lease: Of(time.Minute), LeaseMargin: Of(5 * time.Second),
-			Grace: Of(30 * time.Second), Silence: Of(15 * time.Second),
+			Grace: Of(30 * time.Second), Silence: Of(25 * time.Second),
 			ReserveAfter: Of(10 * time.Minute),
 		},
 		Control: Control{
--- a/faker/worker.go
+++ b/faker/worker.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	reportPath       = "/v1/workers/report"
-	reportInterval   = 5 * time.Second
+	reportPath     = "/v1/workers/report"
+	reportInterval = 10 * time.Second
+	// wholeEvery is the number of reports of which one is whole.
+	wholeEvery       = 6
 	reportRetry      = time.Second
 	watchInterval    = 200 * time.Millisecond
 	checkpointEvery  = 10 * time.Second
@@ -49,6 +51,9 @@
 	table    *leaser.Table
 	tasks    map[leaser.ID]*task
 	sequence uint64
+	// sinceWhole counts the reports since the last whole one.
+	sinceWhole int
+	wantWhole  bool
 	// started counts how often each job was started here.
 	started map[identifier.JobID]int
 
@@ -143,37 +148,67 @@
 type renewal struct {
 	Epoch identifier.Epoch `json:"epoch"`
 	TTL   time.Duration    `json:"ttl-ns"`
+	Whole bool             `json:"whole"`
 }
 
-// reportOnce reports whether the owner of the placement heard the worker.
+// reportOnce reports whether the owner of the placement took the worker's word.
 func (w *Worker) reportOnce(a *announcing) bool {
 	sent := time.Now()
-	message := w.snapshot(sent)
+	message := w.nextReport(sent)
 	var answer renewal
 	if err := a.send(message, &answer); err != nil {
 		return false
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if answer.TTL > 0 && w.table.Admit(answer.Epoch) == nil {
-		w.table.Renew(sent.Add(answer.TTL))
+	if answer.Epoch > w.table.Epoch() || answer.Whole {
+		w.wantWhole = true
 	}
-	return true
+	if answer.TTL <= 0 || w.table.Admit(answer.Epoch) != nil {
+		return false
+	}
+	w.table.Renew(sent.Add(answer.TTL))
+	w.table.Reported(message.Leases)
+	return !w.wantWhole
+}
+
+// nextReport returns a whole report now and then, and when one is wanted.
+func (w *Worker) nextReport(now time.Time) placer.Report {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sinceWhole++
+	if w.wantWhole || w.sinceWhole >= wholeEvery || w.sequence == 0 {
+		w.wantWhole, w.sinceWhole = false, 0
+		return w.wholeReport(now)
+	}
+	w.sequence++
+	return placer.Report{Worker: w.Info, Sequence: w.sequence, Leases: w.table.Changed(now), Partial: true, Usage: w.usage(now)}
 }
 
 func (w *Worker) snapshot(now time.Time) placer.Report {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	return w.wholeReport(now)
+}
+
+// wholeReport returns everything; the caller holds mu.
+func (w *Worker) wholeReport(now time.Time) placer.Report {
 	w.sequence++
-	report := placer.Report{Worker: w.Info, Sequence: w.sequence, Leases: w.table.All(now)}
-	if w.Memory > 0 {
-		for _, lease := range report.Leases {
-			if lease.State == leaser.StateRunning {
-				report.Usage = append(report.Usage, placer.Usage{ID: lease.ID, MemoryBytes: w.Memory})
-			}
+	return placer.Report{Worker: w.Info, Sequence: w.sequence, Leases: w.table.All(now), Usage: w.usage(now)}
+}
+
+// usage returns what running tasks use; the caller holds mu.
+func (w *Worker) usage(now time.Time) []placer.Usage {
+	if w.Memory == 0 {
+		return nil
+	}
+	var usage []placer.Usage
+	for _, lease := range w.table.All(now) {
+		if lease.State == leaser.StateRunning {
+			usage = append(usage, placer.Usage{ID: lease.ID, MemoryBytes: w.Memory})
 		}
 	}
-	return report
+	return usage
 }
 
 func (w *Worker) handleCommands(response http.ResponseWriter, request *http.Request) {
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -55,6 +55,8 @@
 	Reason string `json:"reason,omitempty"`
 	// until is when the task has to stop unless the lease is renewed.
 	until time.Time
+	// reported is the state that the owner has taken.
+	reported State
 	// closed is when the lease stopped holding accelerators.
 	closed time.Time
 }
@@ -161,6 +163,26 @@
 	return expired
 }
 
+// Changed returns the leases whose state the owner has not taken yet.
+func (t *Table) Changed(now time.Time) []Lease {
+	var changed []Lease
+	for _, lease := range t.All(now) {
+		if lease.State != lease.reported {
+			changed = append(changed, lease)
+		}
+	}
+	return changed
+}
+
+// Reported notes that the owner has taken a report with these leases.
+func (t *Table) Reported(leases []Lease) {
+	for i := range leases {
+		if lease, known := t.leases[leases[i].ID]; known {
+			lease.reported = leases[i].State
+		}
+	}
+}
+
 // All returns the leases in a stable order and forgets those that ended long
 // ago.
 func (t *Table) All(now time.Time) []Lease {
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -413,6 +414,10 @@
 		return nil
 	})
 	renewal.Epoch = o.epochNow()
+	if errors.Is(err, placer.ErrWantWhole) {
+		renewal.Whole = true
+		return renewal, nil
+	}
 	return renewal, err
 }
 
@@ -437,6 +442,8 @@
 	// TTL renews all leases, counted from when the worker sent its report; 0
 	// renews none.
 	TTL time.Duration `json:"ttl-ns"`
+	// Whole asks for a whole report at once.
+	Whole bool `json:"whole,omitempty"`
 }
 
 func (o *Overseer) workerAnswered(worker identifier.WorkerID, report placer.Report) {
--- a/placer/options.go
+++ b/placer/options.go
@@ -12,7 +12,7 @@
 	// DefaultUrgentGrace is that time when urgent work is waiting.
 	DefaultUrgentGrace = time.Second
 	// DefaultSilence is the time after which a silent worker gets no new work.
-	DefaultSilence = 15 * time.Second
+	DefaultSilence = 25 * time.Second
 	// DefaultCommandTimeout is the time for a lease or start to be confirmed.
 	DefaultCommandTimeout = 5 * time.Second
 	// DefaultReserveAfter is the wait from which free accelerators are gathered
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -190,11 +190,15 @@
 	MemoryBytes int64     `json:"memory-bytes"`
 }
 
-// Report is a worker's word about itself and all its leases.
+// Report is a worker's word about itself and its leases.
 type Report struct {
-	Worker Worker         `json:"worker"`
+	Worker Worker `json:"worker"`
+	// Leases are all of them, unless the report is partial.
 	Leases []leaser.Lease `json:"leases"`
-	Usage  []Usage        `json:"usage,omitempty"`
+	// Partial reports hold only the leases whose state has changed since the
+	// last report that the owner took. They renew all others too.
+	Partial bool    `json:"partial,omitempty"`
+	Usage   []Usage `json:"usage,omitempty"`
 	// Sequence grows with every report of one incarnation.
 	Sequence uint64 `json:"sequence"`
 }
--- a/placer/report.go
+++ b/placer/report.go
@@ -4,15 +4,25 @@
 	"fmt"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"cranberrystack.dev/cranberrystack/identifier"
 	"cranberrystack.dev/cranberrystack/leaser"
 )
 
+// ErrWantWhole reports a partial report from a worker that this owner does not
+// know yet.
+var ErrWantWhole = eris.New("a whole report is wanted")
+
 // Report takes a worker's word. It returns an error for a worker that is
 // announced from elsewhere, and false for a report older than the last. The
-// caller renews the worker's leases if it returns true.
+// caller renews the worker's leases if it returns true. Errors: ErrConflict,
+// ErrWantWhole.
 func (e *Engine) Report(report Report, now time.Time) (bool, error) {
 	w, known := e.workers[report.Worker.ID]
+	if report.Partial && (!known || report.Worker.Incarnation != w.info.Incarnation) {
+		return false, ErrWantWhole
+	}
 	if known {
 		current, err := e.accept(w, report, now)
 		if err != nil || !current {
@@ -99,6 +109,10 @@
 		seen[lease.ID] = true
 		e.takeLease(w, lease, now)
 	}
+	if report.Partial {
+		e.renewUnchanged(w, now)
+		return
+	}
 	for _, job := range w.jobs.all() {
 		if !seen[leaser.ID{Job: job.Spec.ID, Attempt: job.Attempt}] {
 			e.missing(job, w, now)
@@ -106,6 +120,19 @@
 	}
 }
 
+// renewUnchanged renews the pieces that a partial report leaves out. The
+// worker has them, since an earlier report of it named them.
+func (e *Engine) renewUnchanged(w *workerState, now time.Time) {
+	for _, job := range w.jobs.list {
+		for i := range job.Pieces {
+			piece := &job.Pieces[i]
+			if piece.Worker == w.info.ID && piece.heard {
+				piece.held = now.Add(e.options.lease + e.options.leaseMargin)
+			}
+		}
+	}
+}
+
 // takeLease takes one lease of a report.
 func (e *Engine) takeLease(w *workerState, lease *leaser.Lease, now time.Time) {
 	job, known := e.running.get(lease.ID.Job)
--- a/placer/world_test.go
+++ b/placer/world_test.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -26,6 +27,8 @@
 	table    *leaser.Table
 	tasks    map[leaser.ID]*running
 	sequence uint64
+	// partial is set while the owner takes partial reports.
+	partial bool
 	// cut machines neither hear nor are heard; dead ones run nothing.
 	cut, dead bool
 	// failing machines fail everything they start.
@@ -281,13 +284,18 @@
 	if m.cut || m.dead || (w.lossy && w.random.IntN(10) == 0) {
 		return
 	}
-	sent := w.now
-	current, err := w.engine.Report(w.snapshot(m), w.now)
-	if err != nil {
+	report := w.snapshot(m)
+	if report.Partial = m.partial && w.random.IntN(3) > 0; report.Partial {
+		report.Leases = m.table.Changed(w.now)
+	}
+	current, err := w.engine.Report(report, w.now)
+	if err != nil && !errors.Is(err, ErrWantWhole) {
 		w.t.Fatalf("report of %s: %v", m.info.ID, err)
 	}
+	m.partial = err == nil && w.epoch <= m.table.Epoch()
 	if current && m.table.Admit(w.epoch) == nil {
-		m.table.Renew(sent.Add(w.engine.LeaseTTL()))
+		m.table.Renew(w.now.Add(w.engine.LeaseTTL()))
+		m.table.Reported(report.Leases)
 	}
 	w.flush()
 }
@@ -305,7 +313,7 @@
 	m.table = leaser.NewTable(m.info.Accelerators)
 	m.tasks = map[leaser.ID]*running{}
 	m.info.Incarnation++
-	m.sequence = 0
+	m.sequence, m.partial = 0, false
 }
 
 // check looks at the world as it is, not at the engine's books.
