--- /dev/null
+++ b/announcer/announcer_test.go
@@ -0,0 +1,119 @@
+package announcer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"cranberrystack.dev/cranberrystack/identifier"
+)
+
+func testTable(id string, seeds ...Member) *Table {
+	config := Config{
+		SuspectTimeout: 3 * time.Second, UnheardTimeout: 5 * time.Second, Repeats: 8,
+		Random: rand.New(rand.NewPCG(1, 1)),
+	}
+	return NewTable(config, Member{ID: identifier.InstanceID(id), Incarnation: 1}, seeds, time.Unix(0, 0))
+}
+
+func state(t *testing.T, table *Table, id identifier.InstanceID) State {
+	t.Helper()
+	member, known := table.Member(id)
+	if !known {
+		t.Fatalf("%s is unknown", id)
+	}
+	return member.State
+}
+
+func TestSuspicionBeforeDeath(t *testing.T) {
+	table := testTable("a", Member{ID: "b", Incarnation: 7})
+	now := time.Unix(10, 0)
+	table.Failed("b", now)
+	if got := state(t, table, "b"); got != StateSuspect {
+		t.Fatalf("after a failed probe: %s", got)
+	}
+	table.Next(now.Add(2 * time.Second))
+	if got := state(t, table, "b"); got != StateSuspect {
+		t.Errorf("after 2s: %s, want suspect", got)
+	}
+	table.Next(now.Add(3 * time.Second))
+	if got := state(t, table, "b"); got != StateDead {
+		t.Errorf("after 3s: %s, want dead", got)
+	}
+	table.Contacted(Member{ID: "b", Incarnation: 7, State: StateAlive}, now.Add(time.Minute))
+	if got := state(t, table, "b"); got != StateAlive {
+		t.Errorf("after it was heard: %s, want alive", got)
+	}
+}
+
+func TestMergeOrder(t *testing.T) {
+	tests := []struct {
+		name    string
+		updates []Member
+		want    State
+	}{
+		{"suspicion", []Member{{Incarnation: 5, State: StateSuspect}}, StateSuspect},
+		{"refuted", []Member{{Incarnation: 5, State: StateSuspect}, {Incarnation: 6, State: StateAlive}}, StateAlive},
+		{"late suspicion of an earlier life", []Member{{Incarnation: 6, State: StateAlive}, {Incarnation: 5, State: StateDead}}, StateAlive},
+		{"alive does not undo dead", []Member{{Incarnation: 5, State: StateDead}, {Incarnation: 5, State: StateAlive}}, StateDead},
+		{"left", []Member{{Incarnation: 6, State: StateLeft}, {Incarnation: 5, State: StateAlive}}, StateLeft},
+	}
+	for _, test := range tests {
+		table := testTable("a", Member{ID: "b", Incarnation: 5})
+		for _, update := range test.updates {
+			update.ID = "b"
+			table.Merge([]Member{update}, time.Unix(1, 0))
+		}
+		if got := state(t, table, "b"); got != test.want {
+			t.Errorf("%s: %s, want %s", test.name, got, test.want)
+		}
+	}
+}
+
+func TestRefutesSuspicionOfItself(t *testing.T) {
+	table := testTable("a")
+	table.Merge([]Member{{ID: "a", Incarnation: 9, State: StateDead}}, time.Unix(1, 0))
+	if got := table.Self(); got.Incarnation != 10 || got.State != StateAlive {
+		t.Errorf("got %+v, want incarnation 10 and alive", got)
+	}
+}
+
+func TestUnheard(t *testing.T) {
+	table := testTable("a", Member{ID: "b"})
+	at := func(seconds int) time.Time { return time.Unix(int64(seconds), 0) }
+	table.Contacted(Member{ID: "b"}, at(8))
+	if !table.Unheard(at(9)) {
+		t.Error("contacted at 8s, never answered: not unheard at 9s")
+	}
+	table.Answered(Member{ID: "b"}, at(10))
+	if table.Unheard(at(11)) {
+		t.Error("answered at 10s: unheard at 11s")
+	}
+	if table.Unheard(at(60)) {
+		t.Error("cut off altogether counts as unheard: a data centre of its own must go on")
+	}
+}
+
+// TestUpdatesAreBounded checks that a message holds a fixed number of updates
+// whatever the number of instances, and that news run out.
+func TestUpdatesAreBounded(t *testing.T) {
+	table := testTable("a")
+	for i := range 500 {
+		table.Merge([]Member{{ID: identifier.InstanceID(fmt.Sprint("i", i)), Incarnation: 1}}, time.Unix(1, 0))
+	}
+	messages := 0
+	for {
+		updates := table.Updates(6)
+		if len(updates) == 0 {
+			break
+		}
+		if len(updates) > 6 {
+			t.Fatalf("%d updates in a message", len(updates))
+		}
+		messages++
+	}
+	if want := 500 * 8 / 6; messages < want || messages > want+2 {
+		t.Errorf("%d messages until the news ran out, want about %d", messages, want)
+	}
+}
--- a/cranberryctl/command/lists.go
+++ b/cranberryctl/command/lists.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"os"
 	"sort"
 	"strconv"
 
@@ -18,10 +19,14 @@
 // listFile is a file with the two lists. Entries are kept as they are, so that
 // the instance checks them and not an older command line.
 type listFile struct {
+	// Version is that of saved lists; a file written by hand has none.
+	Version    uint64            `json:"version,omitempty"`
 	Plans      []json.RawMessage `json:"plans"`
 	Allowances []json.RawMessage `json:"allowances"`
 }
 
+const snapshotMode = 0o600
+
 type applyMessage struct {
 	RequestID  string            `json:"request-id"`
 	Expected   uint64            `json:"expected-version"`
@@ -46,7 +51,7 @@
 
 func newLists(s *session) *cobra.Command {
 	group := &cobra.Command{Use: "lists", Short: "Show and change the two lists"}
-	group.AddCommand(newListsGet(s), newListsDiff(s), newListsApply(s))
+	group.AddCommand(newListsGet(s), newListsDiff(s), newListsApply(s), newListsSnapshot(s), newListsRestore(s))
 	return group
 }
 
@@ -261,3 +266,41 @@
 	fmt.Fprintln(s.out, "version "+strconv.FormatUint(result.Version, 10)+" accepted")
 	return nil
 }
+
+// newListsSnapshot saves the leader's lists, whose guarantees carry their
+// shares, so that a restore gives each data centre what it had.
+func newListsSnapshot(s *session) *cobra.Command {
+	return &cobra.Command{
+		Use: "snapshot FILE", Short: "Save the lists in force to a file", Args: exactly(1),
+		RunE: func(cmd *cobra.Command, arguments []string) error {
+			_, lists, err := s.getLists(cmd, true)
+			if err != nil {
+				return err
+			}
+			data, err := json.MarshalIndent(listFile{Version: lists.Version, Plans: lists.Plans, Allowances: lists.Allowances}, "", "  ")
+			if err != nil {
+				return fmt.Errorf("encode lists: %w", err)
+			}
+			if err := os.WriteFile(arguments[0], append(data, '\n'), snapshotMode); err != nil {
+				return fmt.Errorf("save lists: %w", err)
+			}
+			fmt.Fprintf(s.out, "version %d saved\n", lists.Version)
+			return nil
+		},
+	}
+}
+
+// newListsRestore puts saved lists in force as a new version: versions never
+// go back.
+func newListsRestore(s *session) *cobra.Command {
+	return &cobra.Command{
+		Use: "restore FILE", Short: "Put saved lists in force again, as a new version", Args: exactly(1),
+		RunE: func(cmd *cobra.Command, arguments []string) error {
+			file, err := s.readLists(arguments[0])
+			if err != nil {
+				return err
+			}
+			return s.apply(cmd, file, -1, "")
+		},
+	}
+}
--- a/cranberryd/membership/membership.go
+++ b/cranberryd/membership/membership.go
@@ -8,6 +8,8 @@
 	"errors"
 	"time"
 
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"go.uber.org/fx"
 
 	"cranberrystack.dev/cranberryd/loader"
@@ -89,7 +91,7 @@
 	Age     time.Duration          `json:"age-ns"`
 }
 
-func serve(lifecycle fx.Lifecycle, s *server.Server, a *announcer.Announcer, sp *spreader.Spreader, f *configurer.Follower, m *messenger.Messenger, r *recorder.Recorder) {
+func serve(lifecycle fx.Lifecycle, s *server.Server, a *announcer.Announcer, sp *spreader.Spreader, f *configurer.Follower, m *messenger.Messenger, r *recorder.Recorder, logger log.Logger) {
 	peers := s.Group(authenticator.KindPeer)
 	a.Routes(peers)
 	sp.Routes(peers)
@@ -102,6 +104,9 @@
 		}
 		return nil
 	})
+	f.Watch(func(view configurer.View) {
+		_ = level.Info(logger).Log("event", "lists-in-force", "version", view.Lists.Version, "index", view.Index)
+	})
 	r.Publish("lists", func() any {
 		view := f.View()
 		return forceStatus{Index: view.Index, Version: view.Lists.Version, Age: f.Age(time.Now())}
--- a/cranberryd/placement/placement.go
+++ b/cranberryd/placement/placement.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"path/filepath"
 
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"go.uber.org/fx"
 
 	"cranberrystack.dev/cranberryd/control"
@@ -32,10 +34,11 @@
 	})
 }
 
-func run(lifecycle fx.Lifecycle, settings *loader.Settings, s *server.Server, a *announcer.Announcer, m *messenger.Messenger, client *controller.Client, f *configurer.Follower, r *recorder.Recorder, failed control.Failed) error {
+func run(lifecycle fx.Lifecycle, settings *loader.Settings, s *server.Server, a *announcer.Announcer, m *messenger.Messenger, client *controller.Client, f *configurer.Follower, r *recorder.Recorder, failed control.Failed, logger log.Logger) error {
 	parts := overseer.Parts{
 		Self: a.Self(), Announcer: a, Messenger: m, Control: client, Follower: f, Recorder: r,
 		DataCenter: settings.DataCenter, DataCenters: len(settings.DataCenters), Failed: failed,
+		Event: eventLogger(logger),
 	}
 	if settings.DataFolder != "" {
 		parts.Dir = filepath.Join(settings.DataFolder, jobFolder)
@@ -63,3 +66,10 @@
 	})
 	return nil
 }
+
+// eventLogger returns a function that logs one line for each event.
+func eventLogger(logger log.Logger) func(event string, details ...any) {
+	return func(event string, details ...any) {
+		_ = level.Info(logger).Log(append([]any{"event", event}, details...)...)
+	}
+}
--- a/overseer/copier.go
+++ b/overseer/copier.go
@@ -32,6 +32,7 @@
 	after := o.store.at()
 	next := position{Epoch: epoch, Sequence: after.Sequence + 1}
 	u := update{After: after, Position: next, Jobs: changed}
+	o.observe(changed)
 	if err := o.store.write(u); err != nil {
 		return err
 	}
--- /dev/null
+++ b/overseer/observer.go
@@ -0,0 +1,48 @@
+package overseer
+
+import (
+	"cranberrystack.dev/cranberrystack/placer"
+	"cranberrystack.dev/cranberrystack/recorder"
+)
+
+// Classes of jobs in histograms.
+const (
+	classUrgent     = "urgent"
+	classGuaranteed = "guaranteed"
+	classBorrowed   = "borrowed"
+)
+
+// observe logs and measures the changes of jobs' states. The store still holds
+// the states before.
+func (o *Overseer) observe(changed []placer.Job) {
+	for i := range changed {
+		job := &changed[i]
+		if before := o.store.state(job.Spec.ID); before != job.State {
+			o.observeState(job)
+		}
+	}
+}
+
+func (o *Overseer) observeState(job *placer.Job) {
+	o.parts.Event("job-"+string(job.State), "job", job.Spec.ID, "member", job.Spec.Member,
+		"plan", job.Spec.Plan, "attempt", job.Attempt, "reason", job.Reason)
+	series := recorder.Series{Member: job.Spec.Member, Class: classOf(job)}
+	switch job.State {
+	case placer.StateRunning:
+		series.Name = "job-wait"
+		_ = o.parts.Recorder.Observe(series, job.Started.Sub(job.Submitted))
+	case placer.StateFinished:
+		series.Name = "job-completion"
+		_ = o.parts.Recorder.Observe(series, job.Ended.Sub(job.Submitted))
+	}
+}
+
+func classOf(job *placer.Job) string {
+	switch {
+	case job.Spec.Urgent:
+		return classUrgent
+	case job.Guaranteed:
+		return classGuaranteed
+	}
+	return classBorrowed
+}
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -49,6 +49,8 @@
 	Dir string
 	// Failed ends the process when jobs can't be kept any more.
 	Failed func(error)
+	// Event logs one event.
+	Event func(event string, details ...any)
 }
 
 // Overseer is one instance's part in the placement of its data centre. It is
@@ -220,6 +222,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.engine = nil
+	o.parts.Event("placement-given-up", "epoch", o.epoch)
 }
 
 // Owns reports whether this instance owns the placement, and its epoch.
@@ -279,6 +282,7 @@
 	o.engine, o.epoch, o.listsIndex = engine, epoch, view.Index
 	o.copies = map[identifier.InstanceID]position{}
 	o.parts.Recorder.Add("placement.took-over", 1)
+	o.parts.Event("placement-taken-over", "epoch", epoch, "jobs", len(jobs))
 }
 
 // shouldFollow reports whether the owner is gone and no instance before this
--- a/overseer/store.go
+++ b/overseer/store.go
@@ -152,6 +152,13 @@
 	return s.position
 }
 
+// state returns the state of a job as kept, empty for an unknown one.
+func (s *store) state(id identifier.JobID) placer.State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.kept[id].State
+}
+
 func (s *store) jobs() []placer.Job {
 	return s.snapshot().Jobs
 }
--- /dev/null
+++ b/registrar/registrar_test.go
@@ -0,0 +1,73 @@
+package registrar
+
+import (
+	"errors"
+	"testing"
+	"time"
+)
+
+const expiry = 5 * time.Second
+
+func TestAnnounce(t *testing.T) {
+	first := Upstream{ID: "u", Address: "a:1", Subject: "s", Slots: 8, State: StateReady, Incarnation: 5, Sequence: 10}
+	change := func(edit func(*Upstream)) Upstream {
+		next := first
+		next.Sequence++
+		edit(&next)
+		return next
+	}
+	tests := []struct {
+		name       string
+		next       Upstream
+		after      time.Duration
+		wantUrgent bool
+		wantErr    error
+	}{
+		{"renewed", change(func(*Upstream) {}), time.Second, false, nil},
+		{"leaving", change(func(u *Upstream) { u.State = StateLeaving }), time.Second, true, nil},
+		{"restarted elsewhere", change(func(u *Upstream) { u.Address, u.Incarnation, u.Sequence = "b:1", 6, 1 }), time.Second, true, nil},
+		{"old announcement", change(func(u *Upstream) { u.Sequence = 9 }), time.Second, false, ErrStale},
+		{"earlier life", change(func(u *Upstream) { u.Incarnation, u.Sequence = 4, 99 }), time.Second, false, ErrStale},
+		{"other holder", change(func(u *Upstream) { u.Subject, u.Incarnation = "t", 99 }), time.Second, false, ErrTaken},
+		{"other address, same life", change(func(u *Upstream) { u.Address = "b:1" }), time.Second, false, ErrTaken},
+		{"other address after silence", change(func(u *Upstream) { u.Address = "b:1" }), 2 * expiry, true, nil},
+	}
+	for _, test := range tests {
+		r := New(expiry)
+		now := time.Unix(100, 0)
+		if _, err := r.Announce(first, now); err != nil {
+			t.Fatal(err)
+		}
+		urgent, err := r.Announce(test.next, now.Add(test.after))
+		if urgent != test.wantUrgent || !errors.Is(err, test.wantErr) {
+			t.Errorf("%s: got %v, %v, want %v, %v", test.name, urgent, err, test.wantUrgent, test.wantErr)
+		}
+	}
+}
+
+// TestRelay passes records between two registrars whose clocks differ.
+func TestRelay(t *testing.T) {
+	here, there := New(expiry), New(expiry)
+	now, theirs := time.Unix(100, 0), time.Unix(90000, 0)
+	ready := Upstream{ID: "u", Subject: "s", Slots: 1, State: StateReady, Incarnation: 1, Sequence: 1}
+	if _, err := here.Announce(ready, now); err != nil {
+		t.Fatal(err)
+	}
+	there.Merge(here.Fresh(now.Add(time.Second)), theirs)
+	if got, _ := there.Ready(theirs); len(got) != 1 {
+		t.Fatalf("%d upstreams are ready after the relay, want 1", len(got))
+	}
+	leaving := ready
+	leaving.State, leaving.Sequence = StateLeaving, 2
+	if _, err := here.Announce(leaving, now.Add(2*time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	there.Merge(here.Fresh(now.Add(2*time.Second)), theirs.Add(2*time.Second))
+	there.Merge([]Record{{Upstream: ready}}, theirs.Add(3*time.Second))
+	if got, _ := there.Ready(theirs.Add(3 * time.Second)); len(got) != 0 {
+		t.Error("an older record has made a leaving upstream ready again")
+	}
+	if got := there.All(theirs.Add(8 * time.Second)); len(got) != 0 {
+		t.Error("a silent upstream has not expired")
+	}
+}
