--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -7,6 +7,9 @@
 package claimer
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -39,6 +42,9 @@
 	// StateUnknown marks a request that may have run and whose answer is
 	// lost.
 	StateUnknown State = "unknown"
+	// StateSpent marks a key whose request has run or may have, and of which
+	// nothing else is kept any more.
+	StateSpent State = "spent"
 )
 
 // ID names a claim: equal keys of two members are two claims.
@@ -61,6 +67,10 @@
 	Target connector.Target  `json:"target"`
 	State  State             `json:"state"`
 	Answer *connector.Answer `json:"answer,omitempty"`
+	// Mark stands for the id of a spent claim, and SpentAt is when it was
+	// reduced, in seconds of Unix time.
+	Mark    mark  `json:"mark,omitzero"`
+	SpentAt int64 `json:"spent-at,omitempty"`
 }
 
 // Grant is a table's answer to a wish to claim.
@@ -77,21 +87,57 @@
 	touched time.Time
 }
 
-// Table holds the claims of one instance. It is not safe for concurrent use.
+// Table holds the claims of one instance. When it is full, the claims that
+// ended first are reduced to marks, so that their keys still never run again.
+// It is not safe for concurrent use.
 type Table struct {
 	keep     time.Duration
 	maxBytes int64
 	entries  map[ID]*entry
 	bytes    int64
-	swept    time.Time
+	// ended lists the ids of ended claims, the oldest first. Some may be gone
+	// or stand twice.
+	ended []ID
+	// spent holds when claims were reduced, in seconds of Unix time, by mark.
+	spent map[mark]int64
+	swept time.Time
 }
 
-const entryOverheadBytes = 512
+// mark stands for an id.
+type mark [16]byte
+
+func markOf(id ID) mark {
+	sum := sha256.Sum256([]byte(string(id.Member) + "\x00" + string(id.Key)))
+	return mark(sum[:16])
+}
+
+// MarshalText writes the mark as hexadecimal digits.
+func (m mark) MarshalText() ([]byte, error) {
+	return hex.AppendEncode(nil, m[:]), nil
+}
+
+// UnmarshalText reads hexadecimal digits.
+func (m *mark) UnmarshalText(text []byte) error {
+	if len(text) != 2*len(m) {
+		return fmt.Errorf("mark of %d digits: %w", len(text), errBadMark)
+	}
+	if _, err := hex.Decode(m[:], text); err != nil {
+		return fmt.Errorf("mark %q: %w", text, errBadMark)
+	}
+	return nil
+}
+
+var errBadMark = eris.New("not a mark")
+
+const (
+	entryOverheadBytes = 512
+	markBytes          = 48
+)
 
 // NewTable returns an empty table that keeps each claim for the given time
 // and holds at most so many bytes.
 func NewTable(keep time.Duration, maxBytes int64) *Table {
-	return &Table{keep: keep, maxBytes: maxBytes, entries: map[ID]*entry{}}
+	return &Table{keep: keep, maxBytes: maxBytes, entries: map[ID]*entry{}, spent: map[mark]int64{}}
 }
 
 func size(claim *Claim) int64 {
@@ -104,43 +150,79 @@
 
 // Get returns the claim of an id.
 func (t *Table) Get(id ID) (Claim, bool) {
-	e, known := t.entries[id]
-	if !known {
-		return Claim{}, false
+	if e, known := t.entries[id]; known {
+		return e.claim, true
+	}
+	if _, known := t.spent[markOf(id)]; known {
+		return Claim{ID: id, State: StateSpent}, true
 	}
-	return e.claim, true
+	return Claim{}, false
 }
 
 // Claim grants a claim if the id is free, or if it is held by the attempt to
 // be replaced and nothing is known of that attempt's outcome.
 func (t *Table) Claim(wanted Claim, replaces identifier.AttemptID, now time.Time) Grant {
-	e, known := t.entries[wanted.ID]
+	existing, known := t.Get(wanted.ID)
 	if !known {
 		return t.add(wanted, now)
 	}
-	if e.claim.State == StateClaimed && (e.claim.Attempt == wanted.Attempt || replaces != "" && e.claim.Attempt == replaces) {
+	if existing.State == StateClaimed && (existing.Attempt == wanted.Attempt || replaces != "" && existing.Attempt == replaces) {
 		t.put(wanted, now)
 		return Grant{Granted: true}
 	}
-	existing := e.claim
 	return Grant{Existing: &existing}
 }
 
 func (t *Table) add(wanted Claim, now time.Time) Grant {
 	t.sweep(now)
-	if t.bytes+size(&wanted) > t.maxBytes {
+	if !t.makeRoom(size(&wanted), now) {
 		return Grant{Full: true}
 	}
 	t.put(wanted, now)
 	return Grant{Granted: true}
 }
 
+// makeRoom reduces ended claims to marks until so many bytes are free.
+func (t *Table) makeRoom(needed int64, now time.Time) bool {
+	for t.Usage().Bytes+needed > t.maxBytes {
+		if !t.spendOldest(now) {
+			return false
+		}
+	}
+	return true
+}
+
+// spendOldest reduces the claim that ended first, or reports that there is
+// none.
+func (t *Table) spendOldest(now time.Time) bool {
+	for len(t.ended) > 0 {
+		id := t.ended[0]
+		t.ended = t.ended[1:]
+		e, known := t.entries[id]
+		if !known || e.claim.State == StateClaimed {
+			continue
+		}
+		t.drop(id)
+		t.spent[markOf(id)] = now.Unix()
+		return true
+	}
+	return false
+}
+
+func (t *Table) drop(id ID) {
+	t.bytes -= size(&t.entries[id].claim)
+	delete(t.entries, id)
+}
+
 func (t *Table) put(claim Claim, now time.Time) {
-	if e, known := t.entries[claim.ID]; known {
-		t.bytes -= size(&e.claim)
+	if _, known := t.entries[claim.ID]; known {
+		t.drop(claim.ID)
 	}
 	t.entries[claim.ID] = &entry{claim: claim, touched: now}
 	t.bytes += size(&claim)
+	if claim.State != StateClaimed {
+		t.ended = append(t.ended, claim.ID)
+	}
 }
 
 // Finish notes the outcome of a claim. An answer is never replaced.
@@ -153,6 +235,7 @@
 		return
 	}
 	t.put(claim, now)
+	t.makeRoom(0, now)
 }
 
 // Release forgets a claim whose attempt has not run and never will.
@@ -161,28 +244,35 @@
 	if !known || e.claim.State != StateClaimed || e.claim.Attempt != attempt {
 		return
 	}
-	t.bytes -= size(&e.claim)
-	delete(t.entries, id)
+	t.drop(id)
 }
 
 // Load takes claims from another instance's table without replacing any that
 // says more.
 func (t *Table) Load(claims []Claim, now time.Time) {
 	for _, claim := range claims {
+		if claim.State == StateSpent {
+			t.spent[claim.Mark] = claim.SpentAt
+			continue
+		}
 		e, known := t.entries[claim.ID]
 		if known && e.claim.State != StateClaimed {
 			continue
 		}
 		t.put(claim, now)
 	}
+	t.makeRoom(0, now)
 }
 
-// All returns every claim.
+// All returns every claim, those that were reduced without their ids.
 func (t *Table) All() []Claim {
-	claims := make([]Claim, 0, len(t.entries))
+	claims := make([]Claim, 0, len(t.entries)+len(t.spent))
 	for _, e := range t.entries {
 		claims = append(claims, e.claim)
 	}
+	for m, at := range t.spent {
+		claims = append(claims, Claim{State: StateSpent, Mark: m, SpentAt: at})
+	}
 	return claims
 }
 
@@ -197,19 +287,25 @@
 	t.swept = now
 	for id, e := range t.entries {
 		if e.claim.State != StateClaimed && now.Sub(e.touched) >= t.keep {
-			t.bytes -= size(&e.claim)
-			delete(t.entries, id)
+			t.drop(id)
+		}
+	}
+	for m, at := range t.spent {
+		if now.Sub(time.Unix(at, 0)) >= t.keep {
+			delete(t.spent, m)
 		}
 	}
 }
 
 // Usage describes a table's size.
 type Usage struct {
-	Claims int   `json:"claims"`
-	Bytes  int64 `json:"bytes"`
+	Claims int `json:"claims"`
+	// Spent counts the claims that were reduced to marks.
+	Spent int   `json:"spent"`
+	Bytes int64 `json:"bytes"`
 }
 
 // Usage returns the table's size.
 func (t *Table) Usage() Usage {
-	return Usage{Claims: len(t.entries), Bytes: t.bytes}
+	return Usage{Claims: len(t.entries), Spent: len(t.spent), Bytes: t.bytes + markBytes*int64(len(t.spent))}
 }
--- a/claimer/group.go
+++ b/claimer/group.go
@@ -296,13 +296,13 @@
 // Fetch asks the whole group for a claim and returns the one that says most.
 func (c *Claimer) Fetch(ctx context.Context, id ID) (Claim, bool) {
 	best, known := c.Lookup(id)
-	if known && best.State != StateClaimed {
+	if known && best.State == StateAnswered {
 		return best, true
 	}
 	for _, peer := range c.peers {
 		var answer fetchAnswer
 		if c.call(ctx, peer, fetchPath, fetchMessage{ID: id}, &answer) && answer.Known {
-			if !known || answer.Claim.State != StateClaimed {
+			if !known || answer.Claim.State == StateAnswered || best.State == StateClaimed {
 				best, known = answer.Claim, true
 			}
 		}
--- a/claimer/keeper.go
+++ b/claimer/keeper.go
@@ -56,12 +56,17 @@
 
 func replay(contents journaler.Contents) ([]Claim, bool, error) {
 	byID := map[ID]Claim{}
+	var claims []Claim
 	if contents.Snapshot != nil {
-		var claims []Claim
-		if err := json.Unmarshal(contents.Snapshot, &claims); err != nil {
+		var kept []Claim
+		if err := json.Unmarshal(contents.Snapshot, &kept); err != nil {
 			return nil, false, fmt.Errorf("decode claims: %w", err)
 		}
-		for _, claim := range claims {
+		for _, claim := range kept {
+			if claim.State == StateSpent {
+				claims = append(claims, claim)
+				continue
+			}
 			byID[claim.ID] = claim
 		}
 	}
@@ -79,7 +84,6 @@
 			delete(byID, *c.Drop)
 		}
 	}
-	var claims []Claim
 	for _, claim := range byID {
 		claims = append(claims, claim)
 	}
--- /dev/null
+++ b/configurer/effects.go
@@ -0,0 +1,75 @@
+package configurer
+
+import (
+	"fmt"
+
+	"cranberrystack.dev/cranberrystack/packer"
+)
+
+// Effects says in one line each what a change takes from plans, and what
+// becomes of work that uses it.
+func Effects(before, after Lists) []string {
+	var effects []string
+	for _, plan := range before.Plans {
+		if !hasPlan(after, plan) {
+			effects = append(effects, fmt.Sprintf("plan %s is removed: nothing new starts, what runs goes on", plan.ID))
+		}
+	}
+	for _, allowance := range before.Allowances {
+		effects = append(effects, allowanceEffects(allowance, find(after, allowance))...)
+	}
+	return effects
+}
+
+func hasPlan(lists Lists, plan Plan) bool {
+	for i := range lists.Plans {
+		if lists.Plans[i].ID == plan.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// find returns the entry for the same plan and kind; an empty one if it is gone.
+func find(lists Lists, wanted Allowance) Allowance {
+	for _, allowance := range lists.Allowances {
+		if allowance.Plan == wanted.Plan && allowance.Accelerator == wanted.Accelerator {
+			return allowance
+		}
+	}
+	return Allowance{Plan: wanted.Plan, Accelerator: wanted.Accelerator}
+}
+
+func allowanceEffects(before, after Allowance) []string {
+	var effects []string
+	counts := countShapes(after)
+	seen := map[packer.Shape]bool{}
+	for _, guarantee := range before.Guarantees {
+		shape := guarantee.Shape
+		if seen[shape] {
+			continue
+		}
+		seen[shape] = true
+		was, is := countShapes(before)[shape], counts[shape]
+		if is < was {
+			effects = append(effects, fmt.Sprintf(
+				"plan %s: guarantee of %s with %d parts of %d %s goes from %d to %d; work within it keeps its place until it ends",
+				before.Plan, shape.Adjacent, shape.Parts, shape.PerPart, before.Accelerator, was, is))
+		}
+	}
+	if after.Limit < before.Limit {
+		effects = append(effects, fmt.Sprintf("plan %s: limit of %s goes from %d to %d; nothing is stopped", before.Plan, before.Accelerator, before.Limit, after.Limit))
+	}
+	if after.RequestShare < before.RequestShare {
+		effects = append(effects, fmt.Sprintf("plan %s: share of requests goes from %.2f to %.2f at once", before.Plan, before.RequestShare, after.RequestShare))
+	}
+	return effects
+}
+
+func countShapes(allowance Allowance) map[packer.Shape]int {
+	counts := map[packer.Shape]int{}
+	for _, guarantee := range allowance.Guarantees {
+		counts[guarantee.Shape] += guarantee.Count
+	}
+	return counts
+}
--- a/configurer/state.go
+++ b/configurer/state.go
@@ -47,6 +47,8 @@
 	Winner string `json:"winner,omitempty"`
 	// Reason says why a command was not accepted.
 	Reason string `json:"reason,omitempty"`
+	// Effects says what an accepted change takes from plans.
+	Effects []string `json:"effects,omitempty"`
 	// Index is the log's index of the command that gave the result.
 	Index uint64 `json:"index"`
 }
@@ -131,11 +133,12 @@
 	}
 	next := *command.Lists
 	next.Version = current + 1
+	effects := Effects(s.stored.View.Lists, next)
 	s.noteChanges(index, next)
 	s.stored.View.Lists = next
 	s.stored.View.Index = index
 	s.stored.Winner = command.RequestID
-	return Result{Accepted: true}
+	return Result{Accepted: true, Effects: effects}
 }
 
 func (s *State) applyOwner(index uint64, next Ownership) Result {
--- a/cranberryctl/command/lists.go
+++ b/cranberryctl/command/lists.go
@@ -43,10 +43,11 @@
 }
 
 type applyResult struct {
-	Accepted bool   `json:"accepted"`
-	Version  uint64 `json:"version"`
-	Winner   string `json:"winner"`
-	Reason   string `json:"reason"`
+	Accepted bool     `json:"accepted"`
+	Version  uint64   `json:"version"`
+	Winner   string   `json:"winner"`
+	Reason   string   `json:"reason"`
+	Effects  []string `json:"effects"`
 }
 
 func newLists(s *session) *cobra.Command {
@@ -131,12 +132,16 @@
 			if err != nil {
 				return err
 			}
-			return s.printDiff(lists, file)
+			effects, err := s.tryOut(cmd, file)
+			if err != nil {
+				return err
+			}
+			return s.printDiff(lists, file, effects)
 		},
 	}
 }
 
-func (s *session) printDiff(lists listsAnswer, file listFile) error {
+func (s *session) printDiff(lists listsAnswer, file listFile, effects []string) error {
 	changes := append(difference("plan", lists.Plans, file.Plans), difference("allowance", lists.Allowances, file.Allowances)...)
 	if s.output == "json" {
 		data, err := json.Marshal(changes)
@@ -149,6 +154,7 @@
 	for _, change := range changes {
 		fmt.Fprintf(s.out, "%s %s %s\n", change.Sign, change.List, change.Entry)
 	}
+	s.printEffects(effects)
 	return nil
 }
 
@@ -264,9 +270,33 @@
 		return s.printJSON(answer)
 	}
 	fmt.Fprintln(s.out, "version "+strconv.FormatUint(result.Version, 10)+" accepted")
+	s.printEffects(result.Effects)
 	return nil
 }
 
+func (s *session) printEffects(effects []string) {
+	for _, effect := range effects {
+		fmt.Fprintln(s.out, "takes effect: "+effect)
+	}
+}
+
+// tryOut asks what lists would take, without applying them.
+func (s *session) tryOut(cmd *cobra.Command, file listFile) ([]string, error) {
+	body, err := json.Marshal(applyMessage{RequestID: "dry-run", Plans: file.Plans, Allowances: file.Allowances})
+	if err != nil {
+		return nil, fmt.Errorf("encode lists: %w", err)
+	}
+	answer, err := s.asOperator().Send(cmd.Context(), caller.Message{Method: http.MethodPut, Path: "/v1/lists?dry-run=true", Body: body})
+	if err != nil {
+		return nil, err
+	}
+	var result applyResult
+	if err := json.Unmarshal(answer, &result); err != nil {
+		return nil, fmt.Errorf("read effects: %w", err)
+	}
+	return result.Effects, nil
+}
+
 // newListsSnapshot saves the leader's lists, whose guarantees carry their
 // shares, so that a restore gives each data centre what it had.
 func newListsSnapshot(s *session) *cobra.Command {
--- a/cranberryd/loader/loader.go
+++ b/cranberryd/loader/loader.go
@@ -308,7 +308,7 @@
 		},
 		Control: Control{
 			HeartbeatInterval: Of(500 * time.Millisecond),
-			ElectionTimeout:   Of(2 * time.Second), CompactEntries: 2000,
+			ElectionTimeout:   Of(2 * time.Second), CompactEntries: 500,
 		},
 		Membership: Membership{
 			ProbeInterval: Of(time.Second), SuspectTimeout: Of(3 * time.Second),
--- a/cranberryd/operator/operator.go
+++ b/cranberryd/operator/operator.go
@@ -110,11 +110,15 @@
 		invalid(c, "request-id is missing")
 		return
 	}
+	lists := configurer.Lists{Plans: message.Plans, Allowances: message.Allowances}
+	if c.Query("dry-run") == "true" {
+		h.tryOut(c, lists)
+		return
+	}
 	ctx, cancel := context.WithTimeout(c.Request.Context(), applyTimeout)
 	defer cancel()
 	result, err := h.client.Propose(ctx, configurer.Command{
-		Kind: configurer.CommandApply, RequestID: message.RequestID, Expected: message.Expected,
-		Lists: &configurer.Lists{Plans: message.Plans, Allowances: message.Allowances},
+		Kind: configurer.CommandApply, RequestID: message.RequestID, Expected: message.Expected, Lists: &lists,
 	})
 	if err != nil {
 		failControl(c, err)
@@ -128,6 +132,19 @@
 	c.JSON(http.StatusOK, result)
 }
 
+// tryOut checks lists by themselves and says what they would take, against the
+// lists in force here.
+func (h *handler) tryOut(c *gin.Context, lists configurer.Lists) {
+	if err := configurer.Check(lists); err != nil {
+		failControl(c, err)
+		return
+	}
+	view := h.follower.View()
+	c.JSON(http.StatusOK, configurer.Result{
+		Version: view.Lists.Version, Index: view.Index, Effects: configurer.Effects(view.Lists, lists),
+	})
+}
+
 func failControl(c *gin.Context, err error) {
 	problem := responder.Problem{Status: http.StatusServiceUnavailable, Code: responder.CodeUnavailable, Reason: err.Error(), RetryAfter: time.Second}
 	switch {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -31,6 +31,10 @@
 // ErrInProgress reports a key whose request is still being run.
 var ErrInProgress = eris.New("request with this key is in progress")
 
+// ErrAnswerGone reports a key whose request has run, or may have, and whose
+// answer is no longer kept.
+var ErrAnswerGone = eris.New("request ran before under this key and its answer is no longer kept")
+
 // ErrStopping reports an instance that takes no new requests.
 var ErrStopping = eris.New("instance is shutting down")
 
--- a/dispatcher/keyed.go
+++ b/dispatcher/keyed.go
@@ -158,6 +158,9 @@
 // attempt whose holder is gone. It returns free if that attempt did not run
 // and may be replaced.
 func (d *Dispatcher) followClaim(ctx context.Context, request Request, wanted, existing claimer.Claim) (answer connector.Answer, free bool, err error) {
+	if existing.State == claimer.StateSpent {
+		return connector.Answer{}, false, &Refusal{Cause: ErrAnswerGone}
+	}
 	if existing.Digest != wanted.Digest {
 		return connector.Answer{}, false, &Refusal{NotRun: true, Cause: claimer.ErrKeyReused}
 	}
--- a/overseer/copier.go
+++ b/overseer/copier.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/gin-gonic/gin"
 
@@ -25,9 +28,8 @@
 	At       position `json:"at"`
 }
 
-// keep writes changed jobs to the own store and then to every live standby. A
-// standby that can't be reached does not hold the work up: it is brought up to
-// date when it comes back.
+// keep writes changed jobs to the own store and then to the live standbys. One
+// that can't be reached is brought up to date when it comes back.
 func (o *Overseer) keep(epoch identifier.Epoch, changed []placer.Job) error {
 	after := o.store.at()
 	next := position{Epoch: epoch, Sequence: after.Sequence + 1}
@@ -36,16 +38,54 @@
 	if err := o.store.write(u); err != nil {
 		return err
 	}
-	copied := 0
+	if !o.copyToAll(u) {
+		o.parts.Recorder.Add("placement.kept-without-copy", 1)
+	}
+	return nil
+}
+
+// copyToAll sends an update to all standbys at once and reports whether any
+// has it. One that fails is left out for a while, so that it holds up one
+// change only.
+func (o *Overseer) copyToAll(u update) bool {
+	now := time.Now()
+	var sending sync.WaitGroup
+	var copied atomic.Int64
 	for _, standby := range o.standbys() {
-		if o.copyTo(standby, u) {
-			copied++
+		if now.Before(o.skips.until(standby.ID)) {
+			continue
 		}
+		sending.Go(func() {
+			if o.copyTo(standby, u) {
+				copied.Add(1)
+				return
+			}
+			o.skips.set(standby.ID, time.Now().Add(skipTime))
+		})
 	}
-	if copied == 0 {
-		o.parts.Recorder.Add("placement.kept-without-copy", 1)
+	sending.Wait()
+	return copied.Load() > 0
+}
+
+// skips holds until when standbys are left out.
+type skips struct {
+	mu    sync.Mutex
+	times map[identifier.InstanceID]time.Time
+}
+
+func (s *skips) until(id identifier.InstanceID) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.times[id]
+}
+
+func (s *skips) set(id identifier.InstanceID, until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.times == nil {
+		s.times = map[identifier.InstanceID]time.Time{}
 	}
-	return nil
+	s.times[id] = until
 }
 
 func (o *Overseer) copyTo(standby announcer.Member, u update) bool {
@@ -64,7 +104,11 @@
 // sendCopy reports whether the standby has the update, and whether it follows
 // a newer owner.
 func (o *Overseer) sendCopy(standby announcer.Member, u update) (accepted, replaced bool) {
-	ctx, cancel := context.WithTimeout(context.Background(), copyTimeout)
+	timeout := copyTimeout
+	if u.Full {
+		timeout = fullTimeout
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	var answer copyAnswer
 	if err := o.parts.Messenger.Post(ctx, standby.Address, copyPath, u, &answer); err != nil {
@@ -94,7 +138,7 @@
 }
 
 func (o *Overseer) get(address, path string, out any) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), copyTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), fullTimeout)
 	defer cancel()
 	return o.parts.Messenger.Get(ctx, address, path, out) == nil
 }
--- a/overseer/options.go
+++ b/overseer/options.go
@@ -17,7 +17,13 @@
 	DefaultPoolInterval = 45 * time.Second
 )
 
-const copyTimeout = time.Second
+const (
+	copyTimeout = 500 * time.Millisecond
+	// fullTimeout bounds the passing on of all jobs.
+	fullTimeout = 10 * time.Second
+	// skipTime is how long a standby is left out after a failure.
+	skipTime = 3 * time.Second
+)
 
 type options struct {
 	tick          time.Duration
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -68,9 +68,9 @@
 	// listsIndex is the index of the view that the engine has.
 	listsIndex uint64
 	workers    map[identifier.WorkerID]string
-	// copies holds what each standby is known to have.
-	copies map[identifier.InstanceID]position
-	queue  []commit
+	queue      []commit
+	// skips has a lock of its own.
+	skips skips
 
 	wake     chan struct{}
 	stop     chan struct{}
@@ -94,8 +94,8 @@
 	}
 	o := &Overseer{
 		parts: parts, options: newOptions(opts...), store: kept,
-		workers: map[identifier.WorkerID]string{}, copies: map[identifier.InstanceID]position{},
-		wake: make(chan struct{}, 1), stop: make(chan struct{}),
+		workers: map[identifier.WorkerID]string{},
+		wake:    make(chan struct{}, 1), stop: make(chan struct{}),
 	}
 	o.commands = newCommander(parts.Messenger, o.workerAnswered)
 	return o, nil
@@ -280,7 +280,6 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.engine, o.epoch, o.listsIndex = engine, epoch, view.Index
-	o.copies = map[identifier.InstanceID]position{}
 	o.parts.Recorder.Add("placement.took-over", 1)
 	o.parts.Event("placement-taken-over", "epoch", epoch, "jobs", len(jobs))
 }
--- a/replicator/options.go
+++ b/replicator/options.go
@@ -16,7 +16,7 @@
 	DefaultMaxBatchBytes = 256 << 10
 	// DefaultCompactEntries is the number of entries behind the snapshot from
 	// which a new snapshot is made.
-	DefaultCompactEntries = 2000
+	DefaultCompactEntries = 500
 )
 
 const (
