--- /dev/null
+++ b/kernel/kernel_test.go
@@ -0,0 +1,47 @@
+package kernel
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"testing"
+
+	"go.uber.org/fx"
+)
+
+func TestRunsOnlyNamedPlugins(t *testing.T) {
+	var events []string
+	plugin := func(name string) Plugin {
+		hook := fx.StartStopHook(func() { events = append(events, "start "+name) }, func() { events = append(events, "stop "+name) })
+		return Plugin{Name: name, Option: fx.Invoke(func(l fx.Lifecycle) { l.Append(hook) })}
+	}
+	Register(plugin("first"))
+	Register(plugin("second"))
+	Register(plugin("third"))
+	k, err := New([]string{"first", "third"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := k.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if err := k.Stop(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	want := []string{"start first", "start third", "stop third", "stop first"}
+	if !slices.Equal(events, want) {
+		t.Errorf("got %q, want %q", events, want)
+	}
+	if _, err := New([]string{"first", "fourth"}); err == nil || !strings.Contains(err.Error(), `"fourth"`) {
+		t.Errorf("an unknown plug-in gives %v", err)
+	}
+	if names := Names(); !slices.Contains(names, "second") || !slices.IsSorted(names) {
+		t.Errorf("names are %q", names)
+	}
+	defer func() {
+		if recover() == nil {
+			t.Error("a name registered twice is taken")
+		}
+	}()
+	Register(Plugin{Name: "first"})
+}
--- /dev/null
+++ b/retrier/retrier_test.go
@@ -0,0 +1,39 @@
+package retrier
+
+import (
+	"testing"
+	"time"
+)
+
+// TestBudgetBoundsRetries lets every request of a plan fail: retries stay at a
+// tenth of the requests, and another plan's budget is untouched.
+func TestBudgetBoundsRetries(t *testing.T) {
+	b := New()
+	now := time.Unix(0, 0)
+	retries := 0
+	const requests = 10000
+	for range requests {
+		now = now.Add(time.Millisecond)
+		b.Request("storm", now)
+		for b.Retry("storm", now) {
+			retries++
+		}
+	}
+	most := int(DefaultRatio*requests + DefaultPerSecond*10 + DefaultBurst)
+	if retries > most || retries < most*9/10 {
+		t.Errorf("%d retries of %d requests, want about %d", retries, requests, most)
+	}
+	if !b.Retry("calm", now) {
+		t.Error("a plan without retries has no budget")
+	}
+}
+
+func TestClockThatJumpsBack(t *testing.T) {
+	b := New()
+	now := time.Unix(100000, 0)
+	for b.Retry("plan", now) {
+	}
+	if b.Retry("plan", now.Add(-time.Hour)) {
+		t.Error("a step back of the clock has filled the budget")
+	}
+}
