--- a/cranberryd/loader/loader.go
+++ b/cranberryd/loader/loader.go
@@ -304,7 +304,7 @@
 		Jobs: Jobs{
 			Lease: Of(time.Minute), LeaseMargin: Of(5 * time.Second),
 			Grace: Of(30 * time.Second), Silence: Of(25 * time.Second),
-			ReserveAfter: Of(10 * time.Minute),
+			ReserveAfter: Of(20 * time.Minute),
 		},
 		Control: Control{
 			HeartbeatInterval: Of(500 * time.Millisecond),
--- a/placer/engine.go
+++ b/placer/engine.go
@@ -67,6 +67,8 @@
 	nextLook time.Time
 	// reserveNext is when a place may be reserved again.
 	reserveNext time.Time
+	// rests bounds gathering, by kind of accelerator.
+	rests map[string]rest
 	// enough is the last estimate of when a gang can start.
 	enough estimate
 	// forgot is when ended jobs were last forgotten.
@@ -85,7 +87,7 @@
 		jobs:        map[identifier.JobID]*Job{}, workers: map[identifier.WorkerID]*workerState{},
 		order: map[string][]*workerState{}, running: newJobSet(), changing: newJobSet(),
 		byPlan: map[planUse]*jobSet{},
-		usage:  newUsage(), learnt: newLearnt(), holds: map[identifier.JobID]*hold{},
+		usage:  newUsage(), learnt: newLearnt(), holds: map[identifier.JobID]*hold{}, rests: map[string]rest{},
 		attempt: uint64(epoch) << attemptBits,
 	}
 	for i := range jobs {
--- a/placer/gather.go
+++ b/placer/gather.go
@@ -37,9 +37,15 @@
 	gatherings := map[string]*gathering{}
 	for _, gang := range e.longestWaiting(jobs, now) {
 		accelerator := gang.Spec.Accelerator
+		rest := e.rests[accelerator]
 		if e.startBorrower(gang, now) || e.compact(gang, now) {
+			e.rests[accelerator] = rest.ended(now)
 			continue
 		}
+		if now.Before(rest.until) {
+			continue
+		}
+		e.rests[accelerator] = rest.began(now)
 		free := freeTotal(e.freeSlots(accelerator, gang, now))
 		if free >= gang.Spec.Shape.Total() {
 			e.reserve(gang, now)
@@ -113,3 +119,30 @@
 	at    time.Time
 	again time.Time
 }
+
+// gatherRest is the time that small jobs get after a gathering, as a multiple
+// of what it took. It bounds what gathering costs them when there is more work
+// than the pool can do.
+const gatherRest = 3
+
+// rest is the time between two gatherings.
+type rest struct {
+	// since is when the present gathering began, zero if there is none.
+	since time.Time
+	// until is when the next may begin.
+	until time.Time
+}
+
+func (r rest) began(now time.Time) rest {
+	if r.since.IsZero() {
+		r.since = now
+	}
+	return r
+}
+
+func (r rest) ended(now time.Time) rest {
+	if r.since.IsZero() {
+		return r
+	}
+	return rest{until: now.Add(gatherRest * now.Sub(r.since))}
+}
--- a/placer/options.go
+++ b/placer/options.go
@@ -17,7 +17,7 @@
 	DefaultCommandTimeout = 5 * time.Second
 	// DefaultReserveAfter is the wait from which free accelerators are gathered
 	// for a gang.
-	DefaultReserveAfter = 10 * time.Minute
+	DefaultReserveAfter = 20 * time.Minute
 	// DefaultKeepEnded is how long ended jobs are remembered.
 	DefaultKeepEnded = time.Hour
 	// DefaultMaxJobs bounds the jobs that have not ended.
