Scenario of a frozen leader, and of SIGTERM

Cause: a process that is stopped as a whole, with its connections open, was not brought about anywhere; a planned stop was tried by interrupt only.

--- a/cranberryctl/scenario/scenario_test.go
+++ b/cranberryctl/scenario/scenario_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -51,12 +52,16 @@
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"expand":    expand,
-			"ready":     ready,
-			"upstream":  startUpstream,
-			"worker":    startWorker,
-			"announced": announced,
-			"in-force":  inForce,
+			"expand":          expand,
+			"ready":           ready,
+			"upstream":        startUpstream,
+			"worker":          startWorker,
+			"announced":       announced,
+			"in-force":        inForce,
+			"terminate":       terminate,
+			"freeze":          freezeLeader,
+			"thaw":            thaw,
+			"apply-elsewhere": applyElsewhere,
 		},
 	})
 }
@@ -168,3 +173,58 @@
 	defer response.Body.Close()
 	ts.Check(json.NewDecoder(response.Body).Decode(answer))
 }
+
+// signalTo sends a signal to a process that a script has started and not yet
+// waited for, by its place among them.
+func signalTo(ts *testscript.TestScript, place string, signal syscall.Signal) {
+	var index int
+	_, err := fmt.Sscan(place, &index)
+	ts.Check(err)
+	ts.Check(ts.BackgroundCmds()[index].Process.Signal(signal))
+}
+
+// terminate sends SIGTERM: terminate PLACE.
+func terminate(ts *testscript.TestScript, _ bool, arguments []string) {
+	signalTo(ts, arguments[0], syscall.SIGTERM)
+}
+
+// freezeLeader stops the process that leads, with all that it holds in memory,
+// and sets $FROZEN to its address and $PLACE to its place: freeze ADDRESS...
+func freezeLeader(ts *testscript.TestScript, _ bool, arguments []string) {
+	for {
+		for place, address := range arguments {
+			var vars struct {
+				Control struct {
+					Role string `json:"role"`
+				} `json:"control"`
+			}
+			get(ts, address, "/debug/vars", &vars)
+			if vars.Control.Role != "leader" {
+				continue
+			}
+			ts.Setenv("FROZEN", address)
+			ts.Setenv("PLACE", fmt.Sprint(place))
+			signalTo(ts, fmt.Sprint(place), syscall.SIGSTOP)
+			return
+		}
+		time.Sleep(poll)
+	}
+}
+
+// thaw lets a stopped process go on: thaw PLACE.
+func thaw(ts *testscript.TestScript, _ bool, arguments []string) {
+	signalTo(ts, arguments[0], syscall.SIGCONT)
+}
+
+// applyElsewhere applies lists at an instance that is not frozen:
+// apply-elsewhere FILE REQUEST-ID EXPECTED ADDRESS...
+func applyElsewhere(ts *testscript.TestScript, _ bool, arguments []string) {
+	for _, address := range arguments[3:] {
+		if address == ts.Getenv("FROZEN") {
+			continue
+		}
+		ts.Check(ts.Exec("cranberryctl", "lists", "apply", arguments[0],
+			"--request-id", arguments[1], "--expected", arguments[2], "--address", address))
+		return
+	}
+}
