--- a/cranberryd/entry/entry.go
+++ b/cranberryd/entry/entry.go
@@ -133,7 +133,7 @@
 
 // serveRequests adds the callers' interface for requests.
 func serveRequests(s *server.Server, settings *loader.Settings, d *dispatcher.Dispatcher, c *claimer.Claimer, a *announcer.Announcer, dial messenger.Dial) {
-	h := &requestHandler{settings: settings, dispatcher: d, announcer: a, dial: dial}
+	h := &requestHandler{settings: settings, dispatcher: d, announcer: a, client: newForwardClient(dial)}
 	callers := s.Group(authenticator.KindCaller)
 	callers.POST("/v1/requests", h.submit)
 	callers.POST("/v1/keys", h.issueKey)
--- a/cranberryd/entry/forward.go
+++ b/cranberryd/entry/forward.go
@@ -15,6 +15,7 @@
 
 	"cranberrystack.dev/cranberrystack/dispatcher"
 	"cranberrystack.dev/cranberrystack/identifier"
+	"cranberrystack.dev/cranberrystack/messenger"
 	"cranberrystack.dev/cranberrystack/responder"
 )
 
@@ -79,8 +80,7 @@
 	message.Header.Set(headerNonIdempotent, strconv.FormatBool(request.NonIdempotent))
 	message.Header.Set(headerDeadline, strconv.FormatInt(max(left.Milliseconds(), 0), 10))
 	message.Header.Set("Content-Type", request.ContentType)
-	client := &http.Client{Transport: &http.Transport{DialContext: h.dialSoon, DisableKeepAlives: true}}
-	response, err := client.Do(message)
+	response, err := h.client.Do(message)
 	if err != nil {
 		return forwardedAnswer{}, fmt.Errorf("forward to %s: %w", address, err)
 	}
@@ -92,11 +92,15 @@
 	return forwardedAnswer{status: response.StatusCode, header: response.Header, body: body}, nil
 }
 
-// dialSoon gives up soon on an instance that can't be reached.
-func (h *requestHandler) dialSoon(ctx context.Context, network, address string) (net.Conn, error) {
-	dialCtx, cancel := context.WithTimeout(ctx, forwardDial)
-	defer cancel()
-	return h.dial(dialCtx, network, address)
+// newForwardClient returns a client that gives up soon on an instance that
+// can't be reached, and never uses a connection that may have gone silent.
+func newForwardClient(dial messenger.Dial) *http.Client {
+	dialSoon := func(ctx context.Context, network, address string) (net.Conn, error) {
+		dialCtx, cancel := context.WithTimeout(ctx, forwardDial)
+		defer cancel()
+		return dial(dialCtx, network, address)
+	}
+	return &http.Client{Transport: &http.Transport{DialContext: dialSoon, DisableKeepAlives: true}}
 }
 
 func (h *requestHandler) relay(c *gin.Context, answer forwardedAnswer) {
--- a/cranberryd/entry/requests.go
+++ b/cranberryd/entry/requests.go
@@ -20,7 +20,6 @@
 	"cranberrystack.dev/cranberrystack/dispatcher"
 	"cranberrystack.dev/cranberrystack/identifier"
 	"cranberrystack.dev/cranberrystack/limiter"
-	"cranberrystack.dev/cranberrystack/messenger"
 	"cranberrystack.dev/cranberrystack/responder"
 )
 
@@ -49,7 +48,8 @@
 	settings   *loader.Settings
 	dispatcher *dispatcher.Dispatcher
 	announcer  *announcer.Announcer
-	dial       messenger.Dial
+	// client forwards requests to other data centres.
+	client *http.Client
 }
 
 type issuedKey struct {
