--- a/cranberryd/cluster/jobs_test.go
+++ b/cranberryd/cluster/jobs_test.go
@@ -193,3 +193,36 @@
 		}
 	})
 }
+
+// TestOwnerLostInCutOffDataCentre cuts a data centre off and then its owner
+// from all others. What runs ends with its leases, nothing new starts, and once
+// all is healed the job runs to its end as one attempt at a time.
+func TestOwnerLostInCutOffDataCentre(t *testing.T) {
+	withCluster(t, twoCentres(), func(t *testing.T, c *cluster) {
+		c.threeWorkers("dc2", "v", 5*time.Minute)
+		c.prepare()
+		c.submitJob("d", gangOf("gang", 2))
+		c.waitFor("gang runs", time.Minute, func() bool { return c.jobState("e", isukuToken, "gang") == "running" })
+		owner := isolated(c.owner("e", "dc2"))
+		c.network.Cut(func(from, to string) bool { return apart(from, to) || owner(from, to) })
+		time.Sleep(2 * time.Minute)
+		for _, w := range c.workers {
+			if running := w.Running(); len(running) > 0 {
+				t.Errorf("%s runs %v though its lease has run out", w.Info.ID, running)
+			}
+		}
+		c.network.Cut(nil)
+		c.waitFor("gang finished", 20*time.Minute, func() bool {
+			attempts := map[uint64]bool{}
+			for _, w := range c.workers {
+				for _, lease := range w.Running() {
+					attempts[lease.Attempt] = true
+				}
+			}
+			if len(attempts) > 1 {
+				t.Fatalf("attempts %v run at once", attempts)
+			}
+			return c.jobState("f", isukuToken, "gang") == "finished"
+		})
+	})
+}
