One filter for live instances of a data centre

Cause: the entry role and the placement's owner each filtered live members by role and data centre. Announcer.AliveIn serves both. Behaviour is the same.

--- a/announcer/runner.go
+++ b/announcer/runner.go
@@ -246,6 +246,17 @@
 	return alive
 }
 
+// AliveIn returns those of Alive in one data centre.
+func (a *Announcer) AliveIn(role string, dataCenter identifier.DataCenterID) []Member {
+	var alive []Member
+	for _, member := range a.Alive(role) {
+		if member.DataCenter == dataCenter {
+			alive = append(alive, member)
+		}
+	}
+	return alive
+}
+
 // Unheard reports whether others reach this instance while its own probes get
 // no answers.
 func (a *Announcer) Unheard(now time.Time) bool {
--- a/cranberryd/entry/entry.go
+++ b/cranberryd/entry/entry.go
@@ -112,13 +112,7 @@
 
 // entries returns the other live entry instances of a data centre.
 func entries(a *announcer.Announcer, dataCenter identifier.DataCenterID) []announcer.Member {
-	var members []announcer.Member
-	for _, member := range a.Alive(Role) {
-		if member.DataCenter == dataCenter {
-			members = append(members, member)
-		}
-	}
-	return members
+	return a.AliveIn(Role, dataCenter)
 }
 
 func entryIDs(a *announcer.Announcer, dataCenter identifier.DataCenterID) []identifier.InstanceID {
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -308,13 +308,7 @@
 
 // standbys returns the other live placement instances of the data centre.
 func (o *Overseer) standbys() []announcer.Member {
-	var members []announcer.Member
-	for _, member := range o.parts.Announcer.Alive(Role) {
-		if member.DataCenter == o.parts.DataCenter {
-			members = append(members, member)
-		}
-	}
-	return members
+	return o.parts.Announcer.AliveIn(Role, o.parts.DataCenter)
 }
 
 func (o *Overseer) claimOwnership(owner configurer.Ownership) {
