Four faults found by reading the whole change again

Each was shown failing by a new test before the repair, and passes after: - a key reduced to its mark lost that mark when a late release of it was written to disk; after a restart the key was granted again, so a request could run twice (TestSpentKeySurvivesRestart); - a claim refused for a failed disk went on counting as running, and the instance stayed ready (TestFailedDiskMakesUnready); it is unready now; - a gathering whose gang was cancelled went on counting, so that the rest after a later one could be hours (TestGatheringThatEndsWithoutAStart); - a job started by backfill kept a place held for itself (TestBackfillEndsOwnHold).

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -153,8 +153,9 @@
 	if e, known := t.entries[id]; known {
 		return e.claim, true
 	}
-	if _, known := t.spent[markOf(id)]; known {
-		return Claim{ID: id, State: StateSpent}, true
+	m := markOf(id)
+	if at, known := t.spent[m]; known {
+		return Claim{ID: id, State: StateSpent, Mark: m, SpentAt: at}, true
 	}
 	return Claim{}, false
 }
--- a/claimer/group.go
+++ b/claimer/group.go
@@ -158,6 +158,8 @@
 	}
 	granted, existing := c.ask(ctx, wanted, replaces)
 	if err := <-kept; err != nil {
+		c.fail()
+		c.Release(wanted.ID, wanted.Attempt)
 		return Claim{}, false, fmt.Errorf("%w: %w", ErrNoQuorum, err)
 	}
 	if granted+1 >= c.majority() {
@@ -170,6 +172,13 @@
 	return Claim{}, false, ErrNoQuorum
 }
 
+// fail makes the instance unready for good: what it grants can't be kept.
+func (c *Claimer) fail() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ready = false
+}
+
 // keepGrant puts a grant on disk; the caller holds mu.
 func (c *Claimer) keepGrant(grant Grant, wanted Claim) <-chan error {
 	if !grant.Granted {
--- a/claimer/routes.go
+++ b/claimer/routes.go
@@ -73,6 +73,7 @@
 	kept := c.keepGrant(grant, message.Claim)
 	c.mu.Unlock()
 	if err := <-kept; err != nil {
+		c.fail()
 		g.Status(http.StatusServiceUnavailable)
 		return
 	}
--- a/placer/gather.go
+++ b/placer/gather.go
@@ -35,7 +35,9 @@
 // accelerators are gathered for it, as long as there are too few.
 func (e *Engine) gatherForGangs(jobs []*Job, now time.Time) map[string]*gathering {
 	gatherings := map[string]*gathering{}
-	for _, gang := range e.longestWaiting(jobs, now) {
+	gangs := e.longestWaiting(jobs, now)
+	e.endIdleGatherings(gangs, now)
+	for _, gang := range gangs {
 		accelerator := gang.Spec.Accelerator
 		rest := e.rests[accelerator]
 		if e.startBorrower(gang, now) || e.compact(gang, now) {
@@ -56,6 +58,19 @@
 	return gatherings
 }
 
+// endIdleGatherings ends those for whose kind of accelerator no gang waits.
+func (e *Engine) endIdleGatherings(gangs []*Job, now time.Time) {
+	waiting := map[string]bool{}
+	for _, gang := range gangs {
+		waiting[gang.Spec.Accelerator] = true
+	}
+	for accelerator, r := range e.rests {
+		if !waiting[accelerator] {
+			e.rests[accelerator] = r.ended(now)
+		}
+	}
+}
+
 // longestWaiting returns for each kind of accelerator the gang that has waited
 // longest, if that is long enough.
 func (e *Engine) longestWaiting(jobs []*Job, now time.Time) []*Job {
--- a/placer/schedule.go
+++ b/placer/schedule.go
@@ -238,18 +238,21 @@
 	slots := e.freeSlots(job.Spec.Accelerator, job, now)
 	pieces, fits := packer.Find(slots, job.Spec.Shape)
 	if !fits {
-		return e.backfill(job, now)
+		pieces, fits = e.backfill(job, now)
+	}
+	if !fits {
+		return false
 	}
 	delete(e.holds, job.Spec.ID)
 	e.start(job, pieces, now)
 	return true
 }
 
-// backfill lets a short job use space that is held for a gang, if it is
-// expected to be gone before the gang can start.
-func (e *Engine) backfill(job *Job, now time.Time) bool {
+// backfill finds a place for a short job in space that is held for a gang, if
+// it is expected to be gone before the gang can start.
+func (e *Engine) backfill(job *Job, now time.Time) ([]packer.Piece, bool) {
 	if len(e.holds) == 0 {
-		return false
+		return nil, false
 	}
 	end := now.Add(e.learnt.expected(&job.Spec))
 	kept := e.holds
@@ -261,11 +264,7 @@
 	}
 	slots := e.freeSlots(job.Spec.Accelerator, job, now)
 	e.holds = kept
-	pieces, fits := packer.Find(slots, job.Spec.Shape)
-	if fits {
-		e.start(job, pieces, now)
-	}
-	return fits
+	return packer.Find(slots, job.Spec.Shape)
 }
 
 // maxReserved bounds the places reserved of one kind of accelerator: more
