--- /dev/null
+++ b/coordinator/agent.go
@@ -0,0 +1,211 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"cranberrystack.dev/cranberrystack/identifier"
+	"cranberrystack.dev/cranberrystack/scheduler"
+)
+
+const (
+	lookPause = 250 * time.Millisecond
+	// lookSlack is how much later than it may wait a look has to be answered.
+	lookSlack = 600 * time.Millisecond
+)
+
+// agent looks at a worker for as long as runs may be alive there or ends are
+// to be acknowledged.
+func (c *Coordinator) agent(lead *leadership, id identifier.WorkerID) {
+	for {
+		to, born, order, more := c.nextLook(lead, id)
+		if !more {
+			return
+		}
+		sent := time.Now()
+		ctx, cancel := context.WithTimeout(lead.ctx, time.Duration(order.WaitMillis)*time.Millisecond+lookSlack)
+		look, err := c.config.Orders.Look(ctx, to, order)
+		cancel()
+		if lead.ctx.Err() != nil {
+			return
+		}
+		look.Sent, look.Acked = sent, order.Acked
+		if err != nil || look.Born != 0 && look.Born != born {
+			c.missed(lead, id, born, err)
+			pause(lead.ctx, lookPause)
+			continue
+		}
+		look.Born = born
+		c.noteLook(lead, id, &look)
+	}
+}
+
+func pause(ctx context.Context, span time.Duration) {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// nextLook prepares the next question, unless there is no reason for one.
+func (c *Coordinator) nextLook(lead *leadership, id identifier.WorkerID) (Destination, scheduler.UnixMilli, LookOrder, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	worker := c.state.Worker(id)
+	if !c.rules(lead) || worker == nil {
+		delete(lead.agents, id)
+		return Destination{}, 0, LookOrder{}, false
+	}
+	watch := lead.observer.Watch(id, worker.Born)
+	if len(c.state.Placed(id)) == 0 && watch.Clocked() && watch.AckSent >= worker.Acked {
+		delete(lead.agents, id)
+		return Destination{}, 0, LookOrder{}, false
+	}
+	now := time.Now()
+	order := LookOrder{Fence: lead.fence, Acked: worker.Acked}
+	if watch.Clocked() && len(c.state.Placed(id)) > 0 {
+		order.Deadline = watch.Prolong(c.options.maxLease-leaseReserve, now)
+		order.WaitMillis = c.lookWait(watch, id).Milliseconds()
+	}
+	return Destination{Worker: id, Address: worker.Address}, worker.Born, order, true
+}
+
+// leaseReserve keeps a lease below the bound that workers would shorten it to.
+const leaseReserve = 200 * time.Millisecond
+
+// lookWait is short while the answer may settle something.
+func (c *Coordinator) lookWait(watch *scheduler.Watch, id identifier.WorkerID) time.Duration {
+	if watch.Misses > 0 {
+		return 0
+	}
+	for run := range c.state.Placed(id) {
+		try := c.lead.tries[run]
+		if try == nil {
+			return 0
+		}
+		if try.Unanswered || !try.Stopped.IsZero() {
+			return settleWait
+		}
+	}
+	if c.state.Disturbed(id) {
+		return disturbedWait
+	}
+	return c.options.lookWait
+}
+
+// disturbedWait is how long a look waits where tasks that fill may disturb
+// tasks that serve.
+const disturbedWait = 500 * time.Millisecond
+
+// settleWait is how long a look waits while a run's fate is open.
+const settleWait = 200 * time.Millisecond
+
+func (c *Coordinator) missed(lead *leadership, id identifier.WorkerID, born scheduler.UnixMilli, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	watch := lead.observer.Watch(id, born)
+	watch.Misses++
+	if watch.Misses == 1 {
+		c.event("worker-silent", "worker", id, "born", int64(born), "heard-ms-ago", time.Since(watch.Heard).Milliseconds(), "error", err)
+	}
+}
+
+// noteLook takes in a worker's answer and commits the ends that it lists.
+func (c *Coordinator) noteLook(lead *leadership, id identifier.WorkerID, look *scheduler.Look) {
+	c.mu.Lock()
+	worker := c.state.Worker(id)
+	if !c.rules(lead) || worker == nil || worker.Born > look.Born {
+		c.mu.Unlock()
+		return
+	}
+	now := time.Now()
+	watch := lead.observer.Watch(id, look.Born)
+	if watch.Misses > 0 {
+		c.event("worker-back", "worker", id, "misses", watch.Misses)
+	}
+	watch.Misses = 0
+	watch.Hear(look.Clock, now)
+	watch.AckSent = max(watch.AckSent, look.Acked)
+	c.noteRunning(lead, worker, watch, look, now)
+	c.pace(lead, worker)
+	note := c.newEnds(lead, worker, look, now)
+	gone := c.state.Vanished(worker, lead.tries, look, lead.fence)
+	var commands []scheduler.Command
+	if note != nil {
+		commands = append(commands, scheduler.Command{Note: note})
+	}
+	if len(gone) > 0 {
+		c.event("runs-vanished", "worker", id, "runs", len(gone), "first", gone[0])
+		commands = append(commands, scheduler.Command{Drop: &scheduler.Drop{Runs: gone, Reason: "not on the worker"}})
+	}
+	if len(commands) == 0 {
+		c.mu.Unlock()
+		return
+	}
+	p := c.enqueue(lead.fence, commands...)
+	c.mu.Unlock()
+	results, err := p.wait(lead.ctx)
+	if err == nil {
+		c.logEnds(results)
+	}
+}
+
+func (c *Coordinator) noteRunning(lead *leadership, worker *scheduler.Worker, watch *scheduler.Watch, look *scheduler.Look, now time.Time) {
+	for i := range look.Running {
+		running := &look.Running[i]
+		run := c.state.Run(running.Run)
+		if run == nil || run.Worker != worker.ID {
+			c.stopStray(lead, worker, running.Run)
+			continue
+		}
+		try := lead.tries[running.Run]
+		if try == nil {
+			try = &scheduler.Try{}
+			lead.tries[running.Run] = try
+		}
+		try.Unanswered = false
+		if try.Started.IsZero() {
+			try.Started = now
+		}
+		watch.Note(running, now)
+		c.stopAgain(lead, watch, run, try, now)
+	}
+}
+
+// newEnds returns the ends that are not noted yet, nil if there are none.
+func (c *Coordinator) newEnds(lead *leadership, worker *scheduler.Worker, look *scheduler.Look, now time.Time) *scheduler.Note {
+	var note *scheduler.Note
+	for _, end := range look.Ended {
+		if end.Number <= worker.Acked {
+			continue
+		}
+		if note == nil {
+			note = &scheduler.Note{Worker: worker.ID, Born: look.Born}
+		}
+		note.Number = max(note.Number, end.Number)
+		note.Ends = append(note.Ends, end)
+		run := c.state.Run(end.Run)
+		c.event("end", "run", end.Run, "worker", worker.ID, "how", end.How, "number", end.Number, "known", run != nil)
+		if run == nil {
+			continue
+		}
+		switch end.How {
+		case scheduler.EndFailed:
+			lead.observer.Failed(run, now)
+		case scheduler.EndDone:
+			lead.observer.Succeeded(run)
+		}
+	}
+	return note
+}
+
+func (c *Coordinator) logEnds(results []scheduler.Result) {
+	for i := range results {
+		for _, job := range results[i].Ended {
+			c.event("job-ended", "job", job.ID, "queue", job.Queue, "phase", job.Phase, "reason", job.Reason,
+				"took-ms", int64(job.Ended-job.Accepted))
+		}
+	}
+}
--- /dev/null
+++ b/coordinator/calls.go
@@ -0,0 +1,267 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"cranberrystack.dev/cranberrystack/forwarder"
+	"cranberrystack.dev/cranberrystack/identifier"
+	"cranberrystack.dev/cranberrystack/replicator"
+	"cranberrystack.dev/cranberrystack/responder"
+	"cranberrystack.dev/cranberrystack/scheduler"
+)
+
+// JobState is what callers are told of a job.
+type JobState string
+
+// The states of a job.
+const (
+	JobQueued    JobState = "queued"
+	JobRunning   JobState = "running"
+	JobCompleted JobState = "completed"
+	JobFailed    JobState = "failed"
+	JobCancelled JobState = "cancelled"
+)
+
+type stateBody struct {
+	State JobState `json:"state"`
+}
+
+type pendingBody struct {
+	Pending int `json:"pending"`
+}
+
+// Handle decides a call. It answers with CodeNotLeader, having done nothing,
+// on any instance but the leader.
+func (c *Coordinator) Handle(ctx context.Context, call forwarder.Call) forwarder.Answer {
+	if !c.node.Rules() {
+		return c.notLeader()
+	}
+	switch call.Kind {
+	case forwarder.KindSubmit:
+		return c.submit(ctx, call)
+	case forwarder.KindState:
+		return c.jobState(call)
+	case forwarder.KindCancel:
+		return c.cancel(ctx, call)
+	case forwarder.KindConfigure:
+		return c.configure(ctx, call)
+	case forwarder.KindReadCatalog:
+		return c.readCatalog(ctx)
+	case forwarder.KindReport:
+		return c.report(ctx, call)
+	case forwarder.KindLeave:
+		return c.leave(ctx, call)
+	case forwarder.KindStartWave:
+		return c.startWave(ctx, call)
+	case forwarder.KindWaveProgress:
+		return c.waveProgress(call)
+	case forwarder.KindExplain:
+		return c.explain(call)
+	case forwarder.KindOverview:
+		return c.overview()
+	}
+	return problem(responder.CodeInvalid, "unknown kind of call")
+}
+
+func (c *Coordinator) notLeader() forwarder.Answer {
+	leader := c.node.Leadership().Leader.Address
+	if leader == c.config.Address {
+		leader = ""
+	}
+	return forwarder.Answer{Code: forwarder.CodeNotLeader, Leader: leader}
+}
+
+func problem(code responder.Code, reason string) forwarder.Answer {
+	return forwarder.Answer{Code: code, Reason: reason}
+}
+
+func document(value any) forwarder.Answer {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return problem(responder.CodeUnavailable, err.Error())
+	}
+	return forwarder.Answer{Code: forwarder.CodeOK, Document: data}
+}
+
+// failed answers for commands that were not, or may not have been, committed.
+func (c *Coordinator) failed(err error) forwarder.Answer {
+	if errors.Is(err, errNotRun) {
+		return c.notLeader()
+	}
+	return problem(responder.CodeOutcomeUnknown, "the leader lost its office meanwhile")
+}
+
+// place is where a call's address leads.
+type place struct {
+	queue *scheduler.Queue
+	team  identifier.TeamID
+	job   identifier.JobID
+}
+
+// find checks a call's key and resolves its address. The caller holds mu.
+func (c *Coordinator) find(call forwarder.Call) (place, *forwarder.Answer) {
+	refuse := func(code responder.Code, reason string) (place, *forwarder.Answer) {
+		answer := problem(code, reason)
+		return place{}, &answer
+	}
+	catalog := c.state.Catalog()
+	if catalog.Version == 0 {
+		return refuse(responder.CodeUnavailable, "no catalog yet")
+	}
+	queue, rest := catalog.Find(call.Host, call.Path)
+	if queue == nil {
+		return refuse(responder.CodeNotFound, "no such queue")
+	}
+	team, known := catalog.Team(call.Key)
+	if !known && !queue.Open {
+		return refuse(responder.CodeUnauthorized, "unknown key")
+	}
+	if rest != "" && !scheduler.CheckJobID(rest) {
+		return refuse(responder.CodeInvalid, fmt.Sprintf("%q is not the id of a job", rest))
+	}
+	return place{queue: queue, team: team, job: identifier.JobID(rest)}, nil
+}
+
+func (c *Coordinator) submit(ctx context.Context, call forwarder.Call) forwarder.Answer {
+	c.mu.Lock()
+	at, refused := c.find(call)
+	if refused != nil {
+		version := c.state.Catalog().Version
+		c.mu.Unlock()
+		c.event("submit-refused", "path", call.Path, "code", refused.Code, "version", version)
+		return *refused
+	}
+	var request scheduler.Request
+	if err := readRequest(call.Document, &request); err != nil || at.job == "" {
+		c.mu.Unlock()
+		c.event("submit-refused", "job", at.job, "code", responder.CodeInvalid, "error", err)
+		return problem(responder.CodeInvalid, fmt.Sprint("not a job: ", err))
+	}
+	if c.state.Job(at.job) != nil {
+		c.mu.Unlock()
+		return forwarder.Answer{Code: forwarder.CodeOK}
+	}
+	submit := &scheduler.Submit{Job: at.job, Queue: at.queue.Name, Team: at.team, Request: request}
+	p := c.enqueue(0, scheduler.Command{Submit: submit})
+	c.mu.Unlock()
+	results, err := p.wait(ctx)
+	if err != nil {
+		c.event("submit-open", "job", at.job, "error", err)
+		return c.failed(err)
+	}
+	if results[0].Outcome == scheduler.OutcomeUnknown {
+		return problem(responder.CodeNotFound, results[0].Reason)
+	}
+	c.event("job-accepted", "job", at.job, "queue", submit.Queue, "team", at.team, "outcome", results[0].Outcome)
+	return forwarder.Answer{Code: forwarder.CodeOK}
+}
+
+func readRequest(data []byte, request *scheduler.Request) error {
+	if err := json.Unmarshal(data, request); err != nil {
+		return fmt.Errorf("decode: %w", err)
+	}
+	return request.Check()
+}
+
+func (c *Coordinator) jobState(call forwarder.Call) forwarder.Answer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	at, refused := c.find(call)
+	if refused != nil {
+		return *refused
+	}
+	if at.job == "" {
+		return document(pendingBody{Pending: c.state.Pending(at.queue.Name)})
+	}
+	job := c.state.Job(at.job)
+	if !visible(job, at.team) {
+		return problem(forwarder.CodeGone, "no such job")
+	}
+	return document(stateBody{State: stateOf(job)})
+}
+
+// visible reports whether a job exists for a team.
+func visible(job *scheduler.Job, team identifier.TeamID) bool {
+	return job != nil && job.Team == team
+}
+
+func stateOf(job *scheduler.Job) JobState {
+	switch job.Phase {
+	case scheduler.PhaseCompleted:
+		return JobCompleted
+	case scheduler.PhaseFailed:
+		return JobFailed
+	case scheduler.PhaseCancelled:
+		return JobCancelled
+	}
+	if job.Started {
+		return JobRunning
+	}
+	return JobQueued
+}
+
+func (c *Coordinator) cancel(ctx context.Context, call forwarder.Call) forwarder.Answer {
+	c.mu.Lock()
+	at, refused := c.find(call)
+	if refused != nil {
+		c.mu.Unlock()
+		return *refused
+	}
+	if !visible(c.state.Job(at.job), at.team) {
+		c.mu.Unlock()
+		return problem(forwarder.CodeGone, "no such job")
+	}
+	p := c.enqueue(0, scheduler.Command{Cancel: &scheduler.Cancel{Job: at.job}})
+	c.mu.Unlock()
+	results, err := p.wait(ctx)
+	if err != nil {
+		return c.failed(err)
+	}
+	c.event("job-cancelled", "job", at.job, "outcome", results[0].Outcome, "phase", results[0].Phase)
+	if results[0].Outcome == scheduler.OutcomeUnknown {
+		return problem(forwarder.CodeGone, "no such job")
+	}
+	return forwarder.Answer{Code: forwarder.CodeOK}
+}
+
+func (c *Coordinator) configure(ctx context.Context, call forwarder.Call) forwarder.Answer {
+	catalog, err := scheduler.ParseCatalog(call.Document)
+	if err != nil {
+		c.event("catalog-refused", "error", err)
+		return problem(responder.CodeInvalid, err.Error())
+	}
+	c.mu.Lock()
+	if catalog.Version <= c.state.Catalog().Version {
+		c.mu.Unlock()
+		return forwarder.Answer{Code: forwarder.CodeOK}
+	}
+	p := c.enqueue(0, scheduler.Command{Configure: &scheduler.Configure{Document: call.Document}})
+	c.mu.Unlock()
+	results, err := p.wait(ctx)
+	if err != nil {
+		return c.failed(err)
+	}
+	c.event("catalog", "version", catalog.Version, "outcome", results[0].Outcome, "queues", len(catalog.Queues), "teams", len(catalog.Teams))
+	if results[0].Outcome == scheduler.OutcomeInvalid {
+		return problem(responder.CodeInvalid, results[0].Reason)
+	}
+	return forwarder.Answer{Code: forwarder.CodeOK}
+}
+
+func (c *Coordinator) readCatalog(ctx context.Context) forwarder.Answer {
+	if err := c.node.Read(ctx); err != nil {
+		if errors.Is(err, replicator.ErrNotLeader) {
+			return c.notLeader()
+		}
+		return problem(responder.CodeUnavailable, "the newest catalog can't be confirmed")
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state.Document() == nil {
+		return problem(responder.CodeUnavailable, "no catalog yet")
+	}
+	return forwarder.Answer{Code: forwarder.CodeOK, Document: c.state.Document()}
+}
--- /dev/null
+++ b/coordinator/coordinator.go
@@ -0,0 +1,254 @@
+// Package coordinator runs a scheduler over a replicated log. On the leader it
+// takes calls, commits what they change, orders workers to start and stop
+// runs, keeps their leases, and takes note of their ends. On the others it
+// only applies the log.
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"cranberrystack.dev/cranberrystack/forwarder"
+	"cranberrystack.dev/cranberrystack/identifier"
+	"cranberrystack.dev/cranberrystack/recorder"
+	"cranberrystack.dev/cranberrystack/replicator"
+	"cranberrystack.dev/cranberrystack/scheduler"
+)
+
+// Config sets up a coordinator.
+type Config struct {
+	ID  identifier.InstanceID
+	Dir string
+	// Address is where other instances reach this one.
+	Address string
+	// ReportTo is where workers and operators reach this instance.
+	ReportTo string
+	Seeds    []string
+	// Bootstrap allows a new group; see replicator.Seeds.
+	Bootstrap bool
+	// Voters is how many instances vote.
+	Voters    int
+	Transport replicator.Transport
+	Orders    Orders
+	Advise    Advise
+	Machines  Machines
+	// Announce asks an instance to take this one into the log.
+	Announce func(ctx context.Context, address string, peer replicator.Peer) error
+	Recorder *recorder.Recorder
+	Logger   log.Logger
+}
+
+// Coordinator is one instance that holds the log. It is safe for concurrent
+// use. Lock order: mu of the coordinator, then locks of the recorder.
+type Coordinator struct {
+	config  Config
+	options options
+	node    *replicator.Node
+	wake    chan struct{}
+	stop    context.CancelFunc
+	done    sync.WaitGroup
+
+	mu      sync.Mutex
+	state   *scheduler.State
+	queue   []*proposal
+	lead    *leadership
+	members []replicator.Announcement
+	// announced is when this instance last asked to be taken in.
+	announced time.Time
+	// changing says that a change of the membership is under way.
+	changing  bool
+	proposing chan struct{}
+}
+
+// leadership is what a leader keeps until it loses its office.
+type leadership struct {
+	ctx      context.Context
+	cancel   context.CancelFunc
+	fence    scheduler.Fence
+	observer *scheduler.Observer
+	planner  *scheduler.Planner
+	tries    map[scheduler.RunID]*scheduler.Try
+	agents   map[identifier.WorkerID]bool
+	// assigning says that placements are being committed.
+	assigning bool
+	planned   time.Time
+	advising  map[scheduler.StepID]bool
+	paces     map[scheduler.RunID]int
+	upkeep    map[scheduler.MachineID]bool
+	machines  []Machine
+	listed    time.Time
+	listing   bool
+}
+
+// Open restores the state from the folder and joins the log.
+func Open(config Config, opts ...Option) (*Coordinator, error) {
+	c := &Coordinator{
+		config: config, options: newOptions(opts...), state: scheduler.NewState(),
+		wake: make(chan struct{}, 1), proposing: make(chan struct{}, 1),
+	}
+	machine := replicator.StateMachine{Apply: c.apply, Snapshot: c.snapshot, Restore: c.restore}
+	seeds := replicator.Seeds{Address: config.Address, Addresses: config.Seeds, Bootstrap: config.Bootstrap}
+	node, err := replicator.Open(config.ID, config.Dir, nil, machine, config.Transport,
+		append([]replicator.Option{replicator.FromSeeds(seeds), replicator.Clock(c.options.clock)}, c.options.log...)...)
+	if err != nil {
+		return nil, fmt.Errorf("open the log: %w", err)
+	}
+	c.node = node
+	ctx, cancel := context.WithCancel(context.Background())
+	c.stop = cancel
+	c.done.Add(2)
+	go c.run(ctx)
+	go c.propose(ctx)
+	return c, nil
+}
+
+// Node returns the replicated log.
+func (c *Coordinator) Node() *replicator.Node { return c.node }
+
+// Stop hands leadership over and ends.
+func (c *Coordinator) Stop() {
+	c.mu.Lock()
+	c.resign("stopping")
+	c.mu.Unlock()
+	c.node.Stop()
+	c.stop()
+	c.done.Wait()
+}
+
+// Status says who leads.
+func (c *Coordinator) Status() forwarder.Status {
+	view := c.node.Leadership()
+	status := forwarder.Status{Leader: view.Leader.Address, Rules: c.node.Rules(), ReportTo: c.config.ReportTo}
+	for _, peer := range append(append([]replicator.Peer(nil), view.Membership.Voters...), view.Membership.Learners...) {
+		status.Members = append(status.Members, peer.Address)
+	}
+	return status
+}
+
+func (c *Coordinator) apply(_ uint64, data []byte) any {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	results, err := c.state.Apply(data)
+	if err != nil {
+		c.event("entry-unreadable", "error", err)
+		return []scheduler.Result(nil)
+	}
+	c.poke()
+	return results
+}
+
+func (c *Coordinator) snapshot() ([]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state.Snapshot()
+}
+
+func (c *Coordinator) restore(data []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state.Restore(data)
+}
+
+// poke makes the main loop look again.
+func (c *Coordinator) poke() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// event logs one decision or change of belief.
+func (c *Coordinator) event(name string, pairs ...any) {
+	_ = c.config.Logger.Log(append([]any{"event", name}, pairs...)...)
+}
+
+// wall returns the time of day.
+func wall() scheduler.UnixMilli { return scheduler.UnixMilli(time.Now().UnixMilli()) }
+
+// run is the main loop: it takes office, plans, and gives it up.
+func (c *Coordinator) run(ctx context.Context) {
+	defer c.done.Done()
+	timer := time.NewTimer(c.options.idleTick)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.node.Done():
+			return
+		case <-c.wake:
+		case <-timer.C:
+		}
+		timer.Reset(c.step(time.Now()))
+	}
+}
+
+// step does what is due and returns when to look again at the latest.
+func (c *Coordinator) step(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.checkOffice(now)
+	if c.lead == nil {
+		c.announce(now)
+		return c.options.idleTick
+	}
+	c.dropLapsed(now)
+	c.plan(now)
+	c.keepUp(now)
+	c.tend(now)
+	if c.state.Statistics().Active == 0 && c.state.Statistics().Runs == 0 {
+		return c.options.idleTick
+	}
+	return c.options.tick
+}
+
+// checkOffice notices that this instance has become or is no longer leader.
+func (c *Coordinator) checkOffice(now time.Time) {
+	view := c.node.Leadership()
+	rules := c.node.Rules()
+	if c.lead != nil && (!view.Leads || scheduler.Fence(view.Term) != c.lead.fence) {
+		c.resign("another term")
+	}
+	if c.lead != nil || !rules {
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	c.lead = &leadership{
+		ctx: ctx, cancel: cancel, fence: scheduler.Fence(view.Term),
+		observer: scheduler.NewObserver(now, c.options.maxLease, c.options.silence),
+		planner:  scheduler.NewPlanner(),
+		tries:    map[scheduler.RunID]*scheduler.Try{},
+		agents:   map[identifier.WorkerID]bool{},
+		advising: map[scheduler.StepID]bool{},
+		paces:    map[scheduler.RunID]int{},
+		upkeep:   map[scheduler.MachineID]bool{},
+	}
+	statistics := c.state.Statistics()
+	c.event("office-taken", "term", view.Term, "commit", view.Commit, "version", statistics.Version,
+		"jobs", statistics.Active, "runs", statistics.Runs, "workers", statistics.Workers)
+	for _, worker := range c.state.Workers() {
+		if worker.State != scheduler.WorkerGone || len(c.state.Placed(worker.ID)) > 0 {
+			c.lead.observer.Watch(worker.ID, worker.Born)
+			c.attend(worker.ID)
+		}
+	}
+}
+
+func (c *Coordinator) resign(reason string) {
+	if c.lead == nil {
+		return
+	}
+	c.event("office-left", "term", uint64(c.lead.fence), "reason", reason)
+	c.lead.cancel()
+	c.lead = nil
+}
+
+// rules reports whether this instance still leads in the given office. The
+// caller holds mu.
+func (c *Coordinator) rules(lead *leadership) bool {
+	return c.lead == lead && c.node.Rules()
+}
--- /dev/null
+++ b/coordinator/explain.go
@@ -0,0 +1,92 @@
+package coordinator
+
+import (
+	"cranberrystack.dev/cranberrystack/forwarder"
+	"cranberrystack.dev/cranberrystack/identifier"
+	"cranberrystack.dev/cranberrystack/responder"
+	"cranberrystack.dev/cranberrystack/scheduler"
+)
+
+// explanation is what the system knows of a job.
+type explanation struct {
+	Job      identifier.JobID    `json:"job"`
+	State    JobState            `json:"state"`
+	Queue    scheduler.QueueName `json:"queue"`
+	Team     identifier.TeamID   `json:"team,omitempty"`
+	Accepted scheduler.UnixMilli `json:"accepted"`
+	Ended    scheduler.UnixMilli `json:"ended,omitempty"`
+	Reason   string              `json:"reason,omitempty"`
+	Waiting  int                 `json:"waiting-tasks"`
+	Done     int                 `json:"done-tasks"`
+	Runs     []*scheduler.Run    `json:"runs,omitempty"`
+}
+
+func (c *Coordinator) explain(call forwarder.Call) forwarder.Answer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	job := c.state.Job(identifier.JobID(call.Path))
+	if job == nil {
+		return problem(responder.CodeNotFound, "no such job")
+	}
+	e := explanation{
+		Job: job.ID, State: stateOf(job), Queue: job.Queue, Team: job.Team,
+		Accepted: job.Accepted, Ended: job.Ended, Reason: job.Reason,
+	}
+	for k := range job.Occurrences {
+		for i := range job.Occurrences[k].Steps {
+			for j := range job.Occurrences[k].Steps[i].Tasks {
+				switch task := &job.Occurrences[k].Steps[i].Tasks[j]; {
+				case task.Done:
+					e.Done++
+				case task.Live == 0:
+					e.Waiting++
+				}
+			}
+		}
+	}
+	e.Runs = c.state.RunsOf(job.ID)
+	return document(e)
+}
+
+// workerView is a worker as the leader sees it.
+type workerView struct {
+	Worker      identifier.WorkerID   `json:"worker"`
+	State       scheduler.WorkerState `json:"state"`
+	Pool        scheduler.PoolName    `json:"pool"`
+	Runs        int                   `json:"runs"`
+	HeardMillis int64                 `json:"heard-ms-ago"`
+	Misses      int                   `json:"misses"`
+}
+
+type queueView struct {
+	Queue   scheduler.QueueName `json:"queue"`
+	Pending int                 `json:"pending"`
+}
+
+type overviewBody struct {
+	Statistics scheduler.Statistics `json:"statistics"`
+	Queues     []queueView          `json:"queues"`
+	Workers    []workerView         `json:"workers"`
+}
+
+func (c *Coordinator) overview() forwarder.Answer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lead == nil {
+		return c.notLeader()
+	}
+	body := overviewBody{Statistics: c.state.Statistics()}
+	for i := range c.state.Catalog().Queues {
+		name := c.state.Catalog().Queues[i].Name
+		body.Queues = append(body.Queues, queueView{Queue: name, Pending: c.state.Pending(name)})
+	}
+	for _, worker := range c.state.Workers() {
+		view := workerView{Worker: worker.ID, State: worker.State, Pool: worker.Pool, Runs: len(c.state.Placed(worker.ID))}
+		if watch := c.lead.observer.Known(worker.ID); watch != nil {
+			view.HeardMillis = sinceMillis(watch.Heard)
+			view.Misses = watch.Misses
+		}
+		body.Workers = append(body.Workers, view)
+	}
+	return document(body)
+}
--- /dev/null
+++ b/coordinator/membership.go
@@ -0,0 +1,107 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"cranberrystack.dev/cranberrystack/replicator"
+)
+
+const changeTimeout = 2 * time.Second
+
+// HandleAnnouncement notes an instance that asks to hold the log.
+func (c *Coordinator) HandleAnnouncement(peer replicator.Peer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for i := range c.members {
+		if c.members[i].Peer.ID == peer.ID {
+			c.members[i] = replicator.Announcement{Peer: peer, At: now}
+			return
+		}
+	}
+	c.members = append(c.members, replicator.Announcement{Peer: peer, At: now})
+	const most = 32
+	if len(c.members) > most {
+		c.members = c.members[1:]
+	}
+}
+
+// announce asks the known instances to take this one in while it hears no
+// leader or is not a member. The caller holds mu.
+func (c *Coordinator) announce(now time.Time) {
+	if now.Sub(c.announced) < announceInterval || c.config.Announce == nil {
+		return
+	}
+	c.announced = now
+	view := c.node.Leadership()
+	own := c.node.ID()
+	if view.Leader.ID != "" && holds(view.Membership, own) {
+		return
+	}
+	for _, address := range c.known(view) {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), announceInterval)
+			defer cancel()
+			_ = c.config.Announce(ctx, address, own)
+		}()
+	}
+}
+
+func holds(membership replicator.Membership, peer replicator.Peer) bool {
+	for _, member := range append(append([]replicator.Peer(nil), membership.Voters...), membership.Learners...) {
+		if member == peer {
+			return true
+		}
+	}
+	return false
+}
+
+// known returns the addresses of instances that may hold the log.
+func (c *Coordinator) known(view replicator.Leadership) []string {
+	addresses := append([]string(nil), c.config.Seeds...)
+	for _, member := range append(append([]replicator.Peer(nil), view.Membership.Voters...), view.Membership.Learners...) {
+		addresses = append(addresses, member.Address)
+	}
+	var others []string
+	seen := map[string]bool{c.config.Address: true}
+	for _, address := range addresses {
+		if !seen[address] {
+			seen[address] = true
+			others = append(others, address)
+		}
+	}
+	return others
+}
+
+// SetSeeds replaces the addresses to begin with.
+func (c *Coordinator) SetSeeds(seeds []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.config.Seeds = seeds
+}
+
+// tend makes the next change of the membership, one at a time. The caller
+// holds mu.
+func (c *Coordinator) tend(now time.Time) {
+	if c.changing {
+		return
+	}
+	view := c.node.Leadership()
+	change, due := replicator.NextChange(view, c.node.ID().ID, c.members, c.config.Voters, now)
+	if !due {
+		return
+	}
+	c.changing = true
+	c.event("membership-change", "kind", change.Kind, "peer", change.Peer.ID, "address", change.Peer.Address,
+		"voters", len(view.Membership.Voters), "learners", len(view.Membership.Learners), "term", view.Term)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), changeTimeout)
+		defer cancel()
+		err := c.node.Change(ctx, change)
+		c.event("membership-changed", "kind", change.Kind, "peer", change.Peer.ID, "error", err)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.changing = false
+	}()
+}
--- /dev/null
+++ b/coordinator/options.go
@@ -0,0 +1,77 @@
+package coordinator
+
+import (
+	"time"
+
+	"cranberrystack.dev/cranberrystack/replicator"
+)
+
+const (
+	// DefaultMaxLease bounds a worker's lease.
+	DefaultMaxLease = 6 * time.Second
+	// DefaultStartLease is the time in which a start is accepted and for which
+	// it holds the worker's lease.
+	DefaultStartLease = 2500 * time.Millisecond
+	// DefaultLookWait is how long a look waits for an end.
+	DefaultLookWait = 2 * time.Second
+	// DefaultSilence is the time without a sign of life from which a worker
+	// gets no new runs.
+	DefaultSilence = 4 * time.Second
+	// DefaultCallTimeout bounds an order to a worker.
+	DefaultCallTimeout = 500 * time.Millisecond
+	// DefaultTick is the time between two looks at what is due.
+	DefaultTick = 100 * time.Millisecond
+	// DefaultIdleTick is that time while there is no work.
+	DefaultIdleTick = 250 * time.Millisecond
+)
+
+const (
+	commitTimeout    = 5 * time.Second
+	announceInterval = 500 * time.Millisecond
+	maxBatch         = 256
+)
+
+type options struct {
+	maxLease    time.Duration
+	startLease  time.Duration
+	lookWait    time.Duration
+	silence     time.Duration
+	callTimeout time.Duration
+	tick        time.Duration
+	idleTick    time.Duration
+	clock       func() time.Duration
+	log         []replicator.Option
+}
+
+// Option changes how a coordinator works.
+type Option func(*options)
+
+func newOptions(opts ...Option) options {
+	start := time.Now()
+	o := options{
+		maxLease: DefaultMaxLease, startLease: DefaultStartLease, lookWait: DefaultLookWait,
+		silence: DefaultSilence, callTimeout: DefaultCallTimeout,
+		tick: DefaultTick, idleTick: DefaultIdleTick,
+		clock: func() time.Duration { return time.Since(start) },
+	}
+	for _, apply := range opts {
+		apply(&o)
+	}
+	return o
+}
+
+// MaxLease sets the bound of a worker's lease.
+func MaxLease(lease time.Duration) Option {
+	return func(o *options) { o.maxLease = lease }
+}
+
+// Clock sets the clock that also counts the time in which the instance was
+// suspended.
+func Clock(clock func() time.Duration) Option {
+	return func(o *options) { o.clock = clock }
+}
+
+// Log passes options on to the replicated log.
+func Log(opts ...replicator.Option) Option {
+	return func(o *options) { o.log = opts }
+}
--- /dev/null
+++ b/coordinator/plan.go
@@ -0,0 +1,122 @@
+package coordinator
+
+import (
+	"time"
+
+	"cranberrystack.dev/cranberrystack/identifier"
+	"cranberrystack.dev/cranberrystack/recorder"
+	"cranberrystack.dev/cranberrystack/scheduler"
+)
+
+func recorderSeries(name string) recorder.Series { return recorder.Series{Name: name} }
+
+// plan lets the planner choose and carries out what it chose. The caller holds
+// mu.
+func (c *Coordinator) plan(now time.Time) {
+	lead := c.lead
+	if lead.assigning || !c.node.Rules() {
+		return
+	}
+	lead.observer.Forget(c.state)
+	plan := lead.planner.Plan(c.state, lead.observer, now, wall())
+	for _, stop := range plan.Stop {
+		c.orderStop(stop.Run, stop.Reason, now)
+	}
+	for _, step := range plan.Advise {
+		c.askAdvice(step)
+	}
+	if len(plan.Assign) == 0 {
+		return
+	}
+	commands := make([]scheduler.Command, len(plan.Assign))
+	for i := range plan.Assign {
+		commands[i].Assign = &plan.Assign[i]
+	}
+	lead.assigning = true
+	p := c.enqueue(lead.fence, commands...)
+	go c.assigned(lead, plan.Assign, p)
+}
+
+// assigned sends the starts of what has been committed.
+func (c *Coordinator) assigned(lead *leadership, placed []scheduler.Assign, p *proposal) {
+	results, err := p.wait(lead.ctx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	lead.assigning = false
+	if err != nil || c.lead != lead {
+		c.event("assign-lost", "term", uint64(lead.fence), "placements", len(placed), "error", err)
+		return
+	}
+	for i := range placed {
+		if results[i].Outcome != scheduler.OutcomeDone {
+			c.event("assign-stale", "step", placed[i].Runs[0].ID.Task.StepID(), "reason", results[i].Reason)
+			continue
+		}
+		for j := range placed[i].Runs {
+			c.beginStart(lead, placed[i].Runs[j].ID)
+		}
+	}
+	c.poke()
+}
+
+// beginStart starts the call that starts a run. The caller holds mu.
+func (c *Coordinator) beginStart(lead *leadership, id scheduler.RunID) {
+	run := c.state.Run(id)
+	if run == nil {
+		return
+	}
+	job := c.state.Job(id.Task.Job)
+	worker := c.state.Worker(run.Worker)
+	if job == nil || worker == nil || worker.Born != run.Born {
+		return
+	}
+	c.event("start", "run", id, "worker", run.Worker, "term", uint64(lead.fence),
+		"version", c.state.Catalog().Version, "resumes", run.Checkpoint != "")
+	lead.tries[id] = &scheduler.Try{Calling: 1}
+	c.attend(run.Worker)
+	go c.start(lead, *run, Destination{Worker: worker.ID, Address: worker.Address}, job.Request.Spec)
+}
+
+// dropLapsed forgets the runs of workers whose leases have certainly ended.
+// The caller holds mu.
+func (c *Coordinator) dropLapsed(now time.Time) {
+	lead := c.lead
+	for _, worker := range c.state.Workers() {
+		placed := c.state.Placed(worker.ID)
+		if len(placed) == 0 {
+			continue
+		}
+		watch := lead.observer.Known(worker.ID)
+		if watch != nil && watch.Misses == 0 && !watch.Heard.IsZero() {
+			continue
+		}
+		if !lead.observer.Lapsed(worker.ID, now) {
+			continue
+		}
+		drop := &scheduler.Drop{Reason: "leases have ended"}
+		for id := range placed {
+			drop.Runs = append(drop.Runs, id)
+		}
+		c.event("leases-lapsed", "worker", worker.ID, "born", int64(worker.Born), "runs", len(drop.Runs), "term", uint64(lead.fence))
+		c.enqueue(lead.fence, scheduler.Command{Drop: drop})
+	}
+	c.forgetTries()
+}
+
+func (c *Coordinator) forgetTries() {
+	for id := range c.lead.tries {
+		if c.state.Run(id) == nil {
+			delete(c.lead.tries, id)
+		}
+	}
+}
+
+// attend keeps an agent for a worker. The caller holds mu.
+func (c *Coordinator) attend(id identifier.WorkerID) {
+	lead := c.lead
+	if lead.agents[id] {
+		return
+	}
+	lead.agents[id] = true
+	go c.agent(lead, id)
+}
--- /dev/null
+++ b/coordinator/routes.go
@@ -0,0 +1,82 @@
+package coordinator
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"cranberrystack.dev/cranberrystack/forwarder"
+	"cranberrystack.dev/cranberrystack/messenger"
+	"cranberrystack.dev/cranberrystack/replicator"
+	"cranberrystack.dev/cranberrystack/responder"
+)
+
+const (
+	messagesPath      = "/log/messages"
+	formationPath     = "/log/formation"
+	announcementsPath = "/log/announcements"
+	handleTimeout     = 5 * time.Second
+)
+
+// Routes serves what other instances ask.
+func (c *Coordinator) Routes(routes gin.IRoutes) {
+	routes.POST(messagesPath, c.handleMessage)
+	routes.GET(formationPath, func(g *gin.Context) { g.JSON(http.StatusOK, c.node.Formation()) })
+	routes.POST(announcementsPath, func(g *gin.Context) {
+		var peer replicator.Peer
+		if responder.Decode(g, messenger.MaxMessageBytes, &peer) {
+			c.HandleAnnouncement(peer)
+			g.Status(http.StatusNoContent)
+		}
+	})
+	routes.GET(forwarder.StatusPath, func(g *gin.Context) { g.JSON(http.StatusOK, c.Status()) })
+	routes.POST(forwarder.Path, func(g *gin.Context) {
+		var call forwarder.Call
+		if !responder.Decode(g, messenger.MaxMessageBytes, &call) {
+			return
+		}
+		ctx, cancel := context.WithTimeout(g.Request.Context(), handleTimeout)
+		defer cancel()
+		g.JSON(http.StatusOK, c.Handle(ctx, call))
+	})
+}
+
+func (c *Coordinator) handleMessage(g *gin.Context) {
+	var message replicator.Message
+	if !responder.Decode(g, messenger.MaxMessageBytes, &message) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(g.Request.Context(), handleTimeout)
+	defer cancel()
+	answers, err := c.node.Handle(ctx, message)
+	if err != nil {
+		responder.Fail(g, responder.Problem{Status: http.StatusServiceUnavailable, Code: responder.CodeUnavailable, Reason: err.Error()})
+		return
+	}
+	g.JSON(http.StatusOK, answers)
+}
+
+// Transport returns a transport of the log that uses a messenger.
+func Transport(m *messenger.Messenger) replicator.Transport {
+	return replicator.Transport{
+		Send: func(ctx context.Context, peer replicator.Peer, message replicator.Message) ([]replicator.Message, error) {
+			var answers []replicator.Message
+			err := m.Post(ctx, peer.Address, messagesPath, message, &answers)
+			return answers, err
+		},
+		Formation: func(ctx context.Context, peer replicator.Peer) (replicator.Formation, error) {
+			var formation replicator.Formation
+			err := m.Get(ctx, peer.Address, formationPath, &formation)
+			return formation, err
+		},
+	}
+}
+
+// Announce returns a function that announces an instance by a messenger.
+func Announce(m *messenger.Messenger) func(ctx context.Context, address string, peer replicator.Peer) error {
+	return func(ctx context.Context, address string, peer replicator.Peer) error {
+		return m.Post(ctx, address, announcementsPath, peer, nil)
+	}
+}
--- /dev/null
+++ b/coordinator/upkeep.go
@@ -0,0 +1,171 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"cranberrystack.dev/cranberrystack/forwarder"
+	"cranberrystack.dev/cranberrystack/identifier"
+	"cranberrystack.dev/cranberrystack/responder"
+	"cranberrystack.dev/cranberrystack/scheduler"
+)
+
+const (
+	listInterval  = time.Second
+	upkeepTimeout = 2 * time.Second
+	upkeepPause   = 500 * time.Millisecond
+)
+
+func sinceMillis(at time.Time) int64 {
+	if at.IsZero() {
+		return -1
+	}
+	return time.Since(at).Milliseconds()
+}
+
+// waveOrder is an operator's order for upkeep.
+type waveOrder struct {
+	Wave     *int64                `json:"wave"`
+	Machines []scheduler.MachineID `json:"machines"`
+	Seconds  float64               `json:"duration-s"`
+	Cap      int                   `json:"cap"`
+}
+
+type waveBody struct {
+	State string `json:"state"`
+}
+
+func (c *Coordinator) startWave(ctx context.Context, call forwarder.Call) forwarder.Answer {
+	var order waveOrder
+	if err := json.Unmarshal(call.Document, &order); err != nil {
+		return problem(responder.CodeInvalid, err.Error())
+	}
+	if order.Wave == nil || order.Cap <= 0 || len(order.Machines) == 0 {
+		return problem(responder.CodeInvalid, "wave, machines or cap is missing")
+	}
+	wave := &scheduler.Wave{ID: scheduler.WaveID(*order.Wave), Seconds: int64(order.Seconds), Cap: order.Cap}
+	for _, machine := range order.Machines {
+		wave.Machines = append(wave.Machines, scheduler.MachineUpkeep{Machine: machine, State: scheduler.UpkeepWaiting})
+	}
+	results, err := c.commit(ctx, 0, scheduler.Command{Wave: wave})
+	if err != nil {
+		return c.failed(err)
+	}
+	c.event("wave", "wave", wave.ID, "machines", len(wave.Machines), "cap", wave.Cap, "seconds", wave.Seconds, "outcome", results[0].Outcome)
+	return forwarder.Answer{Code: forwarder.CodeOK}
+}
+
+func (c *Coordinator) waveProgress(call forwarder.Call) forwarder.Answer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	wave := c.state.Wave(scheduler.WaveID(call.Wave))
+	if wave == nil {
+		return problem(responder.CodeNotFound, fmt.Sprintf("no wave %d", call.Wave))
+	}
+	if wave.Completed() {
+		return document(waveBody{State: "completed"})
+	}
+	return document(waveBody{State: "running"})
+}
+
+// keepUp brings the waves forward. The caller holds mu.
+func (c *Coordinator) keepUp(now time.Time) {
+	lead := c.lead
+	waves := c.state.Waves()
+	clear(lead.observer.Closed)
+	if len(waves) == 0 || c.config.Machines.List == nil {
+		return
+	}
+	if !lead.listing && now.Sub(lead.listed) >= listInterval {
+		lead.listing = true
+		go c.listMachines(lead)
+	}
+	if lead.machines == nil {
+		return
+	}
+	at := scheduler.Machines{Worker: map[scheduler.MachineID]identifier.WorkerID{}, Down: map[scheduler.MachineID]bool{}, Known: map[scheduler.MachineID]bool{}}
+	for _, machine := range lead.machines {
+		at.Known[machine.ID] = true
+		at.Down[machine.ID] = machine.State == MachineUpkeep
+		if machine.State == MachineUp {
+			at.Worker[machine.ID] = machine.Worker
+		}
+	}
+	for _, wave := range waves {
+		c.bringForward(wave, at, now)
+	}
+}
+
+func (c *Coordinator) bringForward(wave *scheduler.Wave, at scheduler.Machines, now time.Time) {
+	lead := c.lead
+	step := scheduler.NextUpkeep(c.state, lead.observer, wave, at, c.lead.listed, wall())
+	for _, worker := range step.Close {
+		lead.observer.Closed[worker] = true
+	}
+	for _, stop := range step.Stop {
+		c.orderStop(stop.Run, stop.Reason, now)
+	}
+	for i := range step.Changes {
+		change := step.Changes[i]
+		if lead.upkeep[change.Machine] {
+			continue
+		}
+		lead.upkeep[change.Machine] = true
+		p := c.enqueue(lead.fence, scheduler.Command{Upkeep: &change})
+		go c.upkeepChanged(lead, change, p)
+	}
+}
+
+// upkeepChanged sends the order once it is known that it may have been sent.
+func (c *Coordinator) upkeepChanged(lead *leadership, change scheduler.Upkeep, p *proposal) {
+	defer func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(lead.upkeep, change.Machine)
+	}()
+	if _, err := p.wait(lead.ctx); err != nil {
+		return
+	}
+	c.event("upkeep", "wave", change.Wave, "machine", change.Machine, "state", change.State)
+	if change.State != scheduler.UpkeepOrdered || !c.node.Rules() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(lead.ctx, upkeepTimeout)
+	defer cancel()
+	answer, err := c.config.Machines.Upkeep(ctx, change.Machine, change.Wave, lead.fence)
+	c.event("upkeep-answer", "wave", change.Wave, "machine", change.Machine, "answer", answer, "error", err)
+	next := scheduler.UpkeepState("")
+	switch {
+	case err != nil:
+		pause(lead.ctx, upkeepPause)
+	case answer == UpkeepAccepted:
+		next = scheduler.UpkeepBegun
+	case answer == UpkeepUnknown:
+		next = scheduler.UpkeepLost
+	default:
+		next = scheduler.UpkeepWaiting
+		pause(lead.ctx, upkeepPause)
+	}
+	if next != "" {
+		_, _ = c.commit(lead.ctx, lead.fence, scheduler.Command{Upkeep: &scheduler.Upkeep{Wave: change.Wave, Machine: change.Machine, State: next}})
+	}
+}
+
+func (c *Coordinator) listMachines(lead *leadership) {
+	ctx, cancel := context.WithTimeout(lead.ctx, upkeepTimeout)
+	defer cancel()
+	sent := time.Now()
+	machines, err := c.config.Machines.List(ctx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	lead.listing = false
+	if err != nil {
+		c.event("machines-unknown", "error", err)
+		return
+	}
+	lead.machines = machines
+	lead.listed = sent
+	c.poke()
+}
--- a/cranberryd/command/command.go
+++ b/cranberryd/command/command.go
@@ -35,7 +35,7 @@
 	root.SetArgs(arguments)
 	root.SetOut(out)
 	root.SetErr(errOut)
-	root.AddCommand(newRun(), newCheckSettings(), newDevelop())
+	root.AddCommand(newRun(), newNode(), newCheckSettings(), newDevelop())
 	err := root.Execute()
 	if err == nil {
 		return ExitOK
--- /dev/null
+++ b/cranberryd/loader/node.go
@@ -0,0 +1,148 @@
+package loader
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+
+	"github.com/go-playground/validator/v10"
+
+	"cranberrystack.dev/cranberrystack/identifier"
+)
+
+// The roles of a node.
+const (
+	// RoleGateway takes calls of members and brings them to the leader.
+	RoleGateway = "gateway"
+	// RoleCoordination holds the log, and schedules where it leads.
+	RoleCoordination = "coordination"
+)
+
+// NodeListen are the addresses on which others reach a node.
+type NodeListen struct {
+	// Calls takes the calls of members.
+	Calls string `json:"calls,omitempty"`
+	// Ready answers whether the node takes calls.
+	Ready string `json:"ready,omitempty"`
+	// Control takes the calls of workers and operators.
+	Control string `json:"control,omitempty"`
+}
+
+// NodeBounds are times that the surroundings promise or ask for.
+type NodeBounds struct {
+	// Grace is the time that a node has to end.
+	Grace Duration `json:"grace" validate:"time"`
+	// MaxLease bounds a worker's lease.
+	MaxLease Duration `json:"max-lease" validate:"time"`
+	// DutyLease is the time for which orders about machines belong to one
+	// instance.
+	DutyLease Duration `json:"duty-lease" validate:"time"`
+}
+
+// NodeLog bounds the log of events.
+type NodeLog struct {
+	LinesPerSecond int `json:"lines-per-second" validate:"min=1,max=100000"`
+}
+
+// NodeControl tunes the replicated log.
+type NodeControl struct {
+	HeartbeatInterval Duration `json:"heartbeat-interval" validate:"time"`
+	ElectionTimeout   Duration `json:"election-timeout" validate:"time"`
+	CompactEntries    int      `json:"compact-entries" validate:"min=10"`
+	// ToleratedLosses is how many voters may be lost at once.
+	ToleratedLosses int `json:"tolerated-losses" validate:"min=0,max=3"`
+}
+
+// NodeSettings are all that a node has to know.
+type NodeSettings struct {
+	Instance   identifier.InstanceID   `json:"instance" validate:"required"`
+	Role       string                  `json:"role" validate:"oneof=gateway coordination"`
+	DataCenter identifier.DataCenterID `json:"data-center" validate:"required"`
+	Region     identifier.RegionID     `json:"region"`
+	// Address is where other instances reach this one.
+	Address string `json:"address" validate:"required,hostname_port"`
+	// Seeds are addresses of instances with the coordination role. Only the
+	// host counts; all instances use the port of Address.
+	Seeds  []string   `json:"seeds" validate:"min=1,dive,hostname_port"`
+	Listen NodeListen `json:"listen"`
+	// Bootstrap allows a new group of the log.
+	Bootstrap  bool   `json:"bootstrap"`
+	DataFolder string `json:"data-folder,omitempty"`
+	MemoryMiB  int64  `json:"memory-mib" validate:"min=0"`
+	// Advice is where advice is asked for; empty if there is none.
+	Advice string `json:"advice,omitempty"`
+	// Machines is where the keeper of the machines is; empty if there is none.
+	Machines string      `json:"machines,omitempty"`
+	Bounds   NodeBounds  `json:"bounds"`
+	Control  NodeControl `json:"control"`
+	Log      NodeLog     `json:"log"`
+}
+
+// SeedAddresses returns where the seeds are reached by other instances.
+func (s *NodeSettings) SeedAddresses() []string {
+	_, port, err := net.SplitHostPort(s.Address)
+	if err != nil {
+		return nil
+	}
+	addresses := make([]string, 0, len(s.Seeds))
+	for _, seed := range s.Seeds {
+		host, _, err := net.SplitHostPort(seed)
+		if err == nil {
+			addresses = append(addresses, net.JoinHostPort(host, port))
+		}
+	}
+	return addresses
+}
+
+// LoadNodeFile reads and checks the settings file of a node. Errors wrap
+// ErrInvalid.
+func LoadNodeFile(path string) (*NodeSettings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w: %w", path, err, ErrInvalid)
+	}
+	settings, err := LoadNode(data)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return settings, nil
+}
+
+// LoadNode reads and checks settings on top of the defaults.
+func LoadNode(data []byte) (*NodeSettings, error) {
+	settings := DefaultNode()
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(settings); err != nil {
+		return nil, fmt.Errorf("%s: %w", describeSyntax(err), ErrInvalid)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return nil, fmt.Errorf("text follows the settings: %w", ErrInvalid)
+	}
+	err := rules.Struct(settings)
+	var faults validator.ValidationErrors
+	if errors.As(err, &faults) {
+		return nil, faultOf(faults[0])
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", err, ErrInvalid)
+	}
+	if settings.Role == RoleCoordination && settings.DataFolder == "" {
+		return nil, fmt.Errorf("key %q: the coordination role needs one: %w", "data-folder", ErrInvalid)
+	}
+	return settings, nil
+}
+
+// DefaultNode returns the defaults. What has none stays empty and has to be
+// set.
+func DefaultNode() *NodeSettings {
+	return &NodeSettings{
+		Bounds:  NodeBounds{Grace: "6s", MaxLease: "6s", DutyLease: "3s"},
+		Control: NodeControl{HeartbeatInterval: "150ms", ElectionTimeout: "1s", CompactEntries: 2000, ToleratedLosses: 1},
+		Log:     NodeLog{LinesPerSecond: 400},
+	}
+}
--- /dev/null
+++ b/cranberryd/node/coordination.go
@@ -0,0 +1,71 @@
+package node
+
+import (
+	"context"
+	"path/filepath"
+
+	"go.uber.org/fx"
+
+	"cranberrystack.dev/cranberryd/loader"
+	"cranberrystack.dev/cranberrystack/coordinator"
+	"cranberrystack.dev/cranberrystack/forwarder"
+	"cranberrystack.dev/cranberrystack/kernel"
+	"cranberrystack.dev/cranberrystack/platform"
+	"cranberrystack.dev/cranberrystack/recorder"
+	"cranberrystack.dev/cranberrystack/replicator"
+	"cranberrystack.dev/cranberrystack/responder"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name: loader.RoleCoordination, Summary: "holds the log of jobs, and schedules where it leads",
+		Option: fx.Invoke(runCoordination),
+	})
+}
+
+const logFolder = "coordination"
+
+func seriesOf(kind forwarder.Kind, code responder.Code) recorder.Series {
+	return recorder.Series{Name: string(kind), Class: string(code)}
+}
+
+func runCoordination(lifecycle fx.Lifecycle, p *parts) error {
+	settings := p.settings
+	client := platform.NewClient(p.seams.Dial)
+	c, err := coordinator.Open(coordinator.Config{
+		ID: settings.Instance, Dir: filepath.Join(settings.DataFolder, logFolder),
+		Address: settings.Address, ReportTo: settings.Listen.Control,
+		Seeds: settings.SeedAddresses(), Bootstrap: settings.Bootstrap,
+		Voters:    2*settings.Control.ToleratedLosses + 1,
+		Transport: coordinator.Transport(p.messenger), Announce: coordinator.Announce(p.messenger),
+		Orders: client.Orders(), Advise: client.Advise(settings.Advice),
+		Machines: client.Machines(settings.Machines, settings.Instance),
+		Recorder: p.recorder, Logger: p.logger,
+	},
+		coordinator.MaxLease(settings.Bounds.MaxLease.Std()),
+		coordinator.Clock(p.seams.Clock),
+		coordinator.Log(
+			replicator.HeartbeatInterval(settings.Control.HeartbeatInterval.Std()),
+			replicator.ElectionTimeout(settings.Control.ElectionTimeout.Std()),
+			replicator.CompactEntries(settings.Control.CompactEntries)))
+	if err != nil {
+		return err
+	}
+	c.Routes(p.engine)
+	f := p.newForwarder(c.Handle)
+	p.setSeeds = append(p.setSeeds, c.SetSeeds)
+	p.recorder.Publish("coordination", func() any { return c.Status() })
+	lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go func() {
+				<-c.Node().Done()
+				if err := c.Node().Failure(); err != nil {
+					p.fail(err)
+				}
+			}()
+			return p.serve(settings.Listen.Control, platform.Control(p.observed(f.Do)))
+		},
+	})
+	p.drain = func(context.Context) { c.Stop() }
+	return nil
+}
--- /dev/null
+++ b/cranberryd/node/node.go
@@ -0,0 +1,201 @@
+// Package node assembles a process that schedules jobs with steps: a gateway,
+// which takes calls, or an instance that holds the log.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/go-kit/log"
+	"go.uber.org/fx"
+
+	"cranberrystack.dev/cranberryd/loader"
+	"cranberrystack.dev/cranberrystack/forwarder"
+	"cranberrystack.dev/cranberrystack/kernel"
+	"cranberrystack.dev/cranberrystack/messenger"
+	"cranberrystack.dev/cranberrystack/recorder"
+)
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+	// memoryPart is the part of the memory, in percent, that the runtime tries
+	// to stay under.
+	memoryPart = 60
+)
+
+// Listen opens a listener; it is a seam for tests.
+type Listen func(address string) (net.Listener, error)
+
+// Clock counts the time since the machine started, that in which it was
+// suspended included.
+type Clock func() time.Duration
+
+// Seams are what a node takes from its surroundings.
+type Seams struct {
+	Listen Listen
+	Dial   messenger.Dial
+	Clock  Clock
+	Logger log.Logger
+}
+
+// Node is one process.
+type Node struct {
+	kernel   *kernel.Kernel
+	settings *loader.NodeSettings
+	parts    *parts
+	logger   log.Logger
+}
+
+// parts are what the roles share.
+type parts struct {
+	settings  *loader.NodeSettings
+	seams     Seams
+	messenger *messenger.Messenger
+	recorder  *recorder.Recorder
+	logger    log.Logger
+	// engine serves other instances.
+	engine   *gin.Engine
+	servers  []*http.Server
+	stopping atomic.Bool
+	// forwarder is set by the role.
+	forwarder *forwarder.Forwarder
+	// setSeeds are called when the seeds change.
+	setSeeds []func([]string)
+	// drain is called at the start of a stop, and returns when the process may
+	// close its listeners.
+	drain  func(ctx context.Context)
+	failed chan error
+}
+
+// New assembles a node. Nothing is started yet but the recovery of what is on
+// disk.
+func New(settings *loader.NodeSettings, seams Seams) (*Node, error) {
+	if settings.MemoryMiB > 0 {
+		debug.SetMemoryLimit(settings.MemoryMiB << 20 * memoryPart / 100)
+	}
+	n := &Node{settings: settings, logger: seams.Logger}
+	k, err := kernel.New([]string{settings.Role}, kernel.With(
+		fx.Supply(settings, seams),
+		fx.Provide(newParts),
+		fx.Populate(&n.parts),
+	))
+	if err != nil {
+		return nil, fmt.Errorf("assemble %s: %w", settings.Instance, err)
+	}
+	n.kernel = k
+	return n, nil
+}
+
+func newParts(lifecycle fx.Lifecycle, settings *loader.NodeSettings, seams Seams) *parts {
+	gin.SetMode(gin.ReleaseMode)
+	p := &parts{
+		settings: settings, seams: seams, logger: seams.Logger,
+		messenger: messenger.New("", seams.Dial), recorder: recorder.New(), engine: gin.New(),
+		failed: make(chan error, 1),
+	}
+	p.engine.Use(gin.Recovery())
+	p.engine.GET("/debug/vars", func(g *gin.Context) {
+		g.Data(http.StatusOK, "application/json; charset=utf-8", []byte(p.recorder.Vars().String()))
+	})
+	lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error { return p.serve(settings.Address, p.engine) },
+		OnStop:  p.shutdown,
+	})
+	return p
+}
+
+// serve answers on an address until the process stops.
+func (p *parts) serve(address string, handler http.Handler) error {
+	listener, err := p.seams.Listen(address)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", address, err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	p.servers = append(p.servers, server)
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			p.fail(fmt.Errorf("serve %s: %w", address, err))
+		}
+	}()
+	return nil
+}
+
+func (p *parts) fail(err error) {
+	select {
+	case p.failed <- err:
+	default:
+	}
+}
+
+// shutdown lets requests in progress finish.
+func (p *parts) shutdown(ctx context.Context) error {
+	var failure error
+	for i := len(p.servers) - 1; i >= 0; i-- {
+		if err := p.servers[i].Shutdown(ctx); err != nil {
+			failure = fmt.Errorf("shut a server down: %w", err)
+		}
+	}
+	return failure
+}
+
+// ready returns why the process takes no calls, or nil.
+func (p *parts) ready() error {
+	if p.stopping.Load() {
+		return errStopping
+	}
+	if !p.forwarder.Ready(time.Now()) {
+		return errNoLeader
+	}
+	return nil
+}
+
+var (
+	errStopping = errors.New("shutting down")
+	errNoLeader = errors.New("no leader can be reached")
+)
+
+// Start starts the process.
+func (n *Node) Start(ctx context.Context) error {
+	return n.kernel.Start(ctx)
+}
+
+// Stop makes the process unready, lets requests in progress finish, and ends
+// all parts within the grace of the settings.
+func (n *Node) Stop() error {
+	const reserve = 500 * time.Millisecond
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Bounds.Grace.Std()-reserve)
+	defer cancel()
+	n.parts.stopping.Store(true)
+	for _, server := range n.parts.servers {
+		server.SetKeepAlivesEnabled(false)
+	}
+	if n.parts.drain != nil {
+		n.parts.drain(ctx)
+	}
+	return n.kernel.Stop(ctx)
+}
+
+// Reload takes over new settings. What can't be changed while the process runs
+// is named in the log.
+func (n *Node) Reload(settings *loader.NodeSettings) {
+	for _, set := range n.parts.setSeeds {
+		set(settings.SeedAddresses())
+	}
+	fixed := settings.Address != n.settings.Address || settings.Role != n.settings.Role ||
+		settings.Listen != n.settings.Listen || settings.DataFolder != n.settings.DataFolder
+	_ = n.logger.Log("event", "reloaded", "seeds", fmt.Sprint(settings.Seeds), "needs-restart", fixed)
+}
+
+// Failed yields the error after which the process can't go on.
+func (n *Node) Failed() <-chan error { return n.parts.failed }
+
+// Ready returns why the process takes no calls, or nil.
+func (n *Node) Ready() error { return n.parts.ready() }
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -122,12 +122,12 @@
 	}
 	response, err := m.client.Do(request)
 	if err != nil {
-		return fmt.Errorf("%s: %v: %w", url, err, ErrUnreachable)
+		return fmt.Errorf("%s: %w: %w", url, err, ErrUnreachable)
 	}
 	defer response.Body.Close()
 	answer, err := io.ReadAll(io.LimitReader(response.Body, MaxMessageBytes))
 	if err != nil {
-		return fmt.Errorf("%s: %v: %w", url, err, ErrUnreachable)
+		return fmt.Errorf("%s: %w: %w", url, err, ErrUnreachable)
 	}
 	if response.StatusCode >= 300 {
 		return &StatusError{Status: response.StatusCode, Body: string(answer)}
--- a/replicator/formation.go
+++ b/replicator/formation.go
@@ -16,6 +16,12 @@
 	Nonce string `json:"nonce"`
 	// Counted holds the nonces of the group's first voters.
 	Counted map[identifier.InstanceID]string `json:"counted,omitempty"`
+	// Self names the instance that answers; set where groups form from seeds.
+	Self Peer `json:"self,omitempty"`
+	// Bootstrap says that the instance starts with the whole system.
+	Bootstrap bool `json:"bootstrap,omitempty"`
+	// First are the first voters of the group, if it has formed from seeds.
+	First []Peer `json:"first,omitempty"`
 }
 
 type verdict int
@@ -35,6 +41,9 @@
 func (n *Node) form(initial []Peer) (Restored, bool) {
 	ticker := time.NewTicker(formationInterval)
 	defer ticker.Stop()
+	if n.options.seeds != nil {
+		return n.formFromSeeds(ticker.C)
+	}
 	for {
 		verdict, counted := n.survey(initial)
 		switch verdict {
@@ -136,5 +145,10 @@
 func (n *Node) Formation() Formation {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.store.formation
+	formation := n.store.formation
+	if seeds := n.options.seeds; seeds != nil {
+		formation.Self = Peer{ID: n.id, Address: seeds.Address}
+		formation.Bootstrap = seeds.Bootstrap
+	}
+	return formation
 }
--- a/replicator/node.go
+++ b/replicator/node.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -107,6 +108,9 @@
 	failure   error
 	addresses map[identifier.InstanceID]string
 
+	// leadership is what other goroutines may know of the core.
+	leadership atomic.Pointer[Leadership]
+
 	// mu guards lost and the store's formation, which other goroutines read.
 	mu   sync.Mutex
 	lost bool
@@ -127,6 +131,9 @@
 	if err := store.mark(uuid.NewString()); err != nil {
 		return nil, err
 	}
+	if options.seeds != nil {
+		id = diskID(id, store.formation.Nonce)
+	}
 	n := &Node{
 		id: id, machine: machine, transport: transport, options: options, store: store,
 		messages:  make(chan incoming, queueLength),
@@ -140,6 +147,7 @@
 		queues:    map[identifier.InstanceID]chan Message{},
 		addresses: map[identifier.InstanceID]string{},
 	}
+	n.leadership.Store(&Leadership{})
 	go n.run(restored, initial)
 	return n, nil
 }
@@ -290,7 +298,7 @@
 	n.core = NewCore(Config{
 		ID: n.id, HeartbeatInterval: n.options.heartbeatInterval,
 		ElectionTimeout: n.options.electionTimeout, MaxBatchBytes: DefaultMaxBatchBytes,
-		Random: rand.New(rand.NewPCG(seed, seed)),
+		Random: rand.New(rand.NewPCG(seed, seed)), Clock: n.options.clock,
 	}, restored, time.Now())
 	n.applied = restored.Snapshot.Index
 	n.loop()
@@ -365,10 +373,12 @@
 		}
 		n.applied = out.Snapshot.Index
 	}
+	n.publish()
 	n.deliver(out.Messages, in)
 	for _, entry := range out.Committed {
 		n.apply(entry)
 	}
+	n.publish()
 	n.answerReads(out)
 	n.failOldWaiters()
 	n.compactIfLong()
--- a/replicator/options.go
+++ b/replicator/options.go
@@ -31,6 +31,8 @@
 	compactEntries    int
 	journal           []journaler.Option
 	seed              uint64
+	seeds             *Seeds
+	clock             func() time.Duration
 }
 
 // Option changes how a node runs.
@@ -45,6 +47,10 @@
 	for _, apply := range opts {
 		apply(&o)
 	}
+	if o.clock == nil {
+		start := time.Now()
+		o.clock = func() time.Duration { return time.Since(start) }
+	}
 	return o
 }
 
@@ -72,3 +78,15 @@
 func Seed(seed uint64) Option {
 	return func(o *options) { o.seed = seed }
 }
+
+// FromSeeds makes a node find its group from seeds instead of a list of named
+// first voters.
+func FromSeeds(seeds Seeds) Option {
+	return func(o *options) { o.seeds = &seeds }
+}
+
+// Clock sets the clock by which a leader measures whether it still leads. It
+// must count the time in which the instance was suspended.
+func Clock(clock func() time.Duration) Option {
+	return func(o *options) { o.clock = clock }
+}
--- a/replicator/replication.go
+++ b/replicator/replication.go
@@ -97,7 +97,7 @@
 func (c *Core) broadcastAppend(beat bool) {
 	if beat {
 		c.nextBeat = c.clock + c.config.HeartbeatInterval
-		c.round++
+		c.nextRound()
 	}
 	for _, peer := range c.peers() {
 		if peer.ID != c.config.ID {
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -158,6 +158,9 @@
 	// MaxBatchBytes bounds the entries of one message.
 	MaxBatchBytes int
 	Random        *rand.Rand
+	// Clock counts also the time in which the instance was suspended. Without
+	// it no lease of the leader is known.
+	Clock func() time.Duration
 }
 
 type pendingRead struct {
@@ -191,7 +194,10 @@
 	progress map[identifier.InstanceID]*progress
 	round    uint64
 	nextBeat time.Duration
-	reads    []pendingRead
+	// roundSent are the times of Config.Clock at which the latest rounds went
+	// out, by round modulo their number.
+	roundSent [roundsKept]time.Duration
+	reads     []pendingRead
 	// transfers names the voter asked to take over until transferEnd.
 	transfers   identifier.InstanceID
 	transferEnd time.Duration
@@ -213,7 +219,10 @@
 	c.log = entryLog{snapshot: restored.Snapshot, entries: restored.Entries}
 	c.commit = restored.Snapshot.Index
 	c.findMembership()
-	c.heard = -2 * config.ElectionTimeout
+	if config.Clock == nil || len(restored.Entries) == 0 && restored.Snapshot.Index == 0 {
+		// Nothing was promised to a leader yet.
+		c.heard = -2 * config.ElectionTimeout
+	}
 	c.resetDeadline()
 	return c
 }
@@ -275,7 +284,7 @@
 		c.out.FailedReads = append(c.out.FailedReads, token)
 		return c.take()
 	}
-	c.round++
+	c.nextRound()
 	c.reads = append(c.reads, pendingRead{token: token, index: c.commit, round: c.round})
 	c.broadcastAppend(true)
 	c.confirmReads()
--- /dev/null
+++ b/scheduler/advice.go
@@ -0,0 +1,55 @@
+package scheduler
+
+import (
+	"sort"
+	"time"
+
+	"cranberrystack.dev/cranberrystack/identifier"
+)
+
+// Earlier reports whether a step is to be placed before another.
+func (s *State) Earlier(a, b StepID) bool {
+	first, second := s.jobs[a.Job], s.jobs[b.Job]
+	if first == nil || second == nil {
+		return second != nil
+	}
+	if first.Terms.Priority != second.Terms.Priority {
+		return first.Terms.Priority < second.Terms.Priority
+	}
+	return first.Accepted < second.Accepted
+}
+
+// Likely returns the workers that may suit a step, those with the most room
+// first.
+func (s *State) Likely(o *Observer, step StepID, most int, now time.Time) []identifier.WorkerID {
+	job := s.active[step.Job]
+	if job == nil || step.Step >= len(job.Request.Steps) {
+		return nil
+	}
+	u := &unit{job: job, occurrence: step.Occurrence, number: step.Step, step: &job.Request.Steps[step.Step]}
+	b := newBoard(s, o, now, 0)
+	need := u.step.Counted()
+	var rooms []*room
+	for _, r := range b.rooms {
+		if r.worker.Pool == job.Terms.Pool && need.Fits(r.worker.Capacity) &&
+			(u.step.NeedsLabel == "" || r.worker.Has(u.step.NeedsLabel)) {
+			rooms = append(rooms, r)
+		}
+	}
+	better := func(a, b *room) bool {
+		near := func(r *room) bool { return u.step.DataRack != "" && r.rack == u.step.DataRack }
+		if near(a) != near(b) {
+			return near(a)
+		}
+		if need.Fits(a.free) != need.Fits(b.free) {
+			return need.Fits(a.free)
+		}
+		return a.rack < b.rack
+	}
+	sort.SliceStable(rooms, func(i, j int) bool { return better(rooms[i], rooms[j]) })
+	var workers []identifier.WorkerID
+	for _, r := range rooms[:min(most, len(rooms))] {
+		workers = append(workers, r.worker.ID)
+	}
+	return workers
+}
--- /dev/null
+++ b/scheduler/apply.go
@@ -0,0 +1,331 @@
+package scheduler
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+// Apply carries out one entry of the log and returns a result for each
+// command. The same entries give the same state on every instance.
+func (s *State) Apply(data []byte) ([]Result, error) {
+	var batch Batch
+	if err := json.Unmarshal(data, &batch); err != nil {
+		return nil, fmt.Errorf("decode batch: %w", err)
+	}
+	return s.ApplyBatch(batch), nil
+}
+
+// ApplyBatch carries out a decoded entry.
+func (s *State) ApplyBatch(batch Batch) []Result {
+	results := make([]Result, len(batch.Commands))
+	for i := range batch.Commands {
+		results[i] = s.apply(&batch.Commands[i], batch)
+	}
+	s.forget(batch.Now)
+	return results
+}
+
+func (s *State) apply(command *Command, batch Batch) Result {
+	switch {
+	case command.Configure != nil:
+		return s.applyConfigure(command.Configure.Document)
+	case command.Submit != nil:
+		return s.applySubmit(command.Submit, batch.Now)
+	case command.Cancel != nil:
+		return s.applyCancel(command.Cancel, batch.Now)
+	case command.Assign != nil:
+		return s.applyAssign(command.Assign, batch)
+	case command.Note != nil:
+		return s.applyNote(command.Note, batch.Now)
+	case command.Drop != nil:
+		return s.applyDrop(command.Drop)
+	case command.Enlist != nil:
+		return s.applyEnlist(*command.Enlist, batch.Now)
+	case command.Leave != nil:
+		return s.applyLeave(command.Leave)
+	case command.Wave != nil:
+		return s.applyWave(*command.Wave, batch.Now)
+	case command.Upkeep != nil:
+		return s.applyUpkeep(*command.Upkeep, batch.Now)
+	}
+	return Result{Outcome: OutcomeInvalid, Reason: "empty command"}
+}
+
+func (s *State) applyConfigure(document Document) Result {
+	catalog, err := ParseCatalog(document)
+	if err != nil {
+		return Result{Outcome: OutcomeInvalid, Reason: err.Error()}
+	}
+	if catalog.Version <= s.catalog.Version {
+		return Result{Outcome: OutcomeSame}
+	}
+	s.catalog = catalog
+	s.document = document
+	for _, job := range s.active {
+		if queue := catalog.Queue(job.Queue); queue != nil {
+			job.Terms = queue.terms()
+		}
+	}
+	return Result{Outcome: OutcomeDone}
+}
+
+func (s *State) applySubmit(submit *Submit, now UnixMilli) Result {
+	if known := s.jobs[submit.Job]; known != nil {
+		return Result{Outcome: OutcomeSame, Phase: known.Phase}
+	}
+	queue := s.catalog.Queue(submit.Queue)
+	if queue == nil {
+		return Result{Outcome: OutcomeUnknown, Reason: "no such queue"}
+	}
+	job := newJob(submit.Job, queue, submit.Team, submit.Request, now)
+	s.jobs[job.ID] = job
+	s.active[job.ID] = job
+	return Result{Outcome: OutcomeDone, Phase: job.Phase}
+}
+
+func (s *State) applyCancel(cancel *Cancel, now UnixMilli) Result {
+	job := s.jobs[cancel.Job]
+	switch {
+	case job == nil:
+		return Result{Outcome: OutcomeUnknown}
+	case !job.Active():
+		return Result{Outcome: OutcomeSame, Phase: job.Phase}
+	}
+	s.finish(job, PhaseCancelled, "", now)
+	return Result{Outcome: OutcomeDone, Phase: job.Phase, Ended: []*Job{job}}
+}
+
+func (s *State) finish(job *Job, phase Phase, reason string, now UnixMilli) {
+	job.end(phase, reason, now)
+	delete(s.active, job.ID)
+}
+
+func (s *State) applyAssign(assign *Assign, batch Batch) Result {
+	for i := range assign.Runs {
+		if reason := s.refuses(&assign.Runs[i]); reason != "" {
+			return Result{Outcome: OutcomeStale, Reason: reason}
+		}
+	}
+	for i := range assign.Runs {
+		run := assign.Runs[i]
+		run.Fence = batch.Fence
+		run.Assigned = batch.Now
+		s.runs[run.ID] = &run
+		s.place(&run)
+		job := s.jobs[run.ID.Task.Job]
+		step, state, task := job.step(run.ID.Task)
+		task.Run = max(task.Run, run.ID.Number)
+		task.Live++
+		state.Live++
+		if step.Gang {
+			state.Run = max(state.Run, run.ID.Number)
+		}
+		job.Started = true
+	}
+	return Result{Outcome: OutcomeDone}
+}
+
+// refuses returns why a run can't be assigned, empty if it can.
+func (s *State) refuses(run *Run) string {
+	job := s.jobs[run.ID.Task.Job]
+	if job == nil || !job.Active() {
+		return "job has ended"
+	}
+	step, state, task := job.step(run.ID.Task)
+	worker := s.workers[run.Worker]
+	switch {
+	case task == nil:
+		return "no such task"
+	case task.Done:
+		return "task is done"
+	case !job.ready(run.ID.Task.Occurrence, run.ID.Task.Step):
+		return "an earlier step is not done"
+	case run.ID.Number <= task.Run || step.Gang && run.ID.Number <= state.Run:
+		return "run number was given out"
+	case task.Live > 0 && !step.Copies || step.Gang && state.Live > 0:
+		return "an earlier run may be alive"
+	case worker == nil || worker.Born != run.Born || worker.State != WorkerReady:
+		return "worker takes no new runs"
+	}
+	return ""
+}
+
+func (s *State) applyNote(note *Note, now UnixMilli) Result {
+	worker := s.workers[note.Worker]
+	if worker == nil || worker.Born != note.Born {
+		return Result{Outcome: OutcomeUnknown}
+	}
+	result := Result{Outcome: OutcomeDone}
+	for i := range note.Ends {
+		end := &note.Ends[i]
+		if end.Number <= worker.Acked {
+			continue
+		}
+		if job := s.applyEnd(note, end, now); job != nil {
+			result.Ended = append(result.Ended, job)
+		}
+	}
+	worker.Acked = max(worker.Acked, note.Number)
+	return result
+}
+
+// applyEnd takes note of one end and returns the job if it ends by it.
+func (s *State) applyEnd(note *Note, end *End, now UnixMilli) *Job {
+	run := s.runs[end.Run]
+	if run == nil || run.Worker != note.Worker {
+		return nil
+	}
+	s.remove(run)
+	job := s.jobs[end.Run.Task.Job]
+	if job == nil || !job.Active() {
+		return nil
+	}
+	step, state, task := job.step(end.Run.Task)
+	if task == nil || task.Done {
+		return nil
+	}
+	if end.Checkpoint != "" {
+		task.Checkpoint = end.Checkpoint
+		state.Checkpoint = end.Checkpoint
+	}
+	switch end.How {
+	case EndDone:
+		return s.taskDone(job, step, state, task, end.Run.Task.Occurrence, now)
+	case EndFailed:
+		return s.taskFailed(job, step, state, task, end.Run, now)
+	}
+	return nil
+}
+
+func (s *State) taskDone(job *Job, step *Step, state *StepState, task *Task, occurrence int, now UnixMilli) *Job {
+	if step.LongRunning {
+		return nil
+	}
+	if step.Gang {
+		for i := range state.Tasks {
+			state.Tasks[i].Done = true
+		}
+		state.Left = 0
+	} else {
+		task.Done = true
+		state.Left--
+	}
+	if state.Left > 0 {
+		return nil
+	}
+	job.Occurrences[occurrence].Left--
+	for i := range job.Occurrences {
+		if job.Occurrences[i].Left > 0 {
+			return nil
+		}
+	}
+	s.finish(job, PhaseCompleted, "", now)
+	return job
+}
+
+func (s *State) taskFailed(job *Job, step *Step, state *StepState, task *Task, run RunID, now UnixMilli) *Job {
+	if step.LongRunning {
+		return nil
+	}
+	failures := 0
+	if step.Gang {
+		if run.Number > state.FailedRun {
+			state.FailedRun = run.Number
+			state.Failures++
+		}
+		failures = state.Failures
+	} else {
+		task.Failures++
+		failures = task.Failures
+	}
+	if failures < job.Terms.MaxAttempts {
+		return nil
+	}
+	s.finish(job, PhaseFailed, fmt.Sprintf("%s failed %d times", run.Task, failures), now)
+	return job
+}
+
+func (s *State) applyDrop(drop *Drop) Result {
+	result := Result{Outcome: OutcomeSame}
+	for _, id := range drop.Runs {
+		if run := s.runs[id]; run != nil {
+			s.remove(run)
+			result.Outcome = OutcomeDone
+		}
+	}
+	return result
+}
+
+// applyEnlist takes a worker's report. A worker that has been followed by
+// another life at its address or on its machine is not taken back.
+func (s *State) applyEnlist(worker Worker, now UnixMilli) Result {
+	known := s.workers[worker.ID]
+	if known != nil && (worker.Born < known.Born || worker.Born == known.Born && (known.State == WorkerGone || worker.Sequence < known.Sequence)) {
+		return Result{Outcome: OutcomeStale, Reason: "an earlier life"}
+	}
+	var replaced []*Worker
+	for _, other := range s.workers {
+		if other.ID == worker.ID || !other.succeeds(&worker) {
+			continue
+		}
+		if other.Born > worker.Born {
+			return Result{Outcome: OutcomeStale, Reason: "followed by " + string(other.ID)}
+		}
+		replaced = append(replaced, other)
+	}
+	for _, other := range replaced {
+		s.bury(other)
+	}
+	worker.Acked = 0
+	if known != nil && known.Born == worker.Born {
+		worker.Acked = known.Acked
+		worker.Drained = known.Drained
+	}
+	if worker.State == WorkerDraining && worker.Drained == 0 {
+		worker.Drained = now
+	}
+	s.workers[worker.ID] = &worker
+	return Result{Outcome: OutcomeDone}
+}
+
+// succeeds reports whether two workers can't both be alive.
+func (w *Worker) succeeds(o *Worker) bool {
+	return w.Address == o.Address || w.Machine != "" && w.Machine == o.Machine
+}
+
+// bury forgets a worker whose process has ended, and all that ran on it.
+func (s *State) bury(worker *Worker) {
+	for _, run := range s.placed[worker.ID] {
+		s.remove(run)
+	}
+	delete(s.workers, worker.ID)
+}
+
+func (s *State) applyLeave(leave *Leave) Result {
+	worker := s.workers[leave.Worker]
+	if worker == nil || leave.Born != 0 && leave.Born < worker.Born {
+		return Result{Outcome: OutcomeSame}
+	}
+	worker.State = WorkerGone
+	return Result{Outcome: OutcomeDone}
+}
+
+// forget drops jobs that ended long ago, and workers that have left and hold
+// nothing.
+func (s *State) forget(now UnixMilli) {
+	if now-s.forgotten < retention/10 && now >= s.forgotten {
+		return
+	}
+	s.forgotten = now
+	for id, job := range s.jobs {
+		if job.Active() || now-job.Ended < retention {
+			continue
+		}
+		delete(s.jobs, id)
+	}
+	for id, worker := range s.workers {
+		if worker.State == WorkerGone && len(s.placed[id]) == 0 {
+			delete(s.workers, id)
+		}
+	}
+}
--- /dev/null
+++ b/scheduler/board.go
@@ -0,0 +1,324 @@
+package scheduler
+
+import (
+	"sort"
+	"time"
+
+	"cranberrystack.dev/cranberrystack/identifier"
+)
+
+// room is what a worker has left in one pass of the planner.
+type room struct {
+	worker *Worker
+	rack   string
+	// free may be negative where a unit waits for runs that are being stopped.
+	free Resources
+	// soon is free with the runs that are being stopped.
+	soon Resources
+	// steps counts the runs of each step.
+	steps     map[StepID]int
+	serves    bool
+	fills     bool
+	suspected bool
+}
+
+// board holds the rooms of all workers during one pass.
+type board struct {
+	state    *State
+	observer *Observer
+	now      time.Time
+	// wall is the time of day.
+	wall     UnixMilli
+	rooms    []*room
+	byWorker map[identifier.WorkerID]*room
+	// stopped holds the runs that this pass has ordered to stop.
+	stopped map[RunID]bool
+}
+
+func newBoard(s *State, o *Observer, now time.Time, wall UnixMilli) *board {
+	b := &board{
+		state: s, observer: o, now: now, wall: wall,
+		byWorker: map[identifier.WorkerID]*room{}, stopped: map[RunID]bool{},
+	}
+	for _, worker := range s.Workers() {
+		if !o.Sound(worker, now) {
+			continue
+		}
+		r := &room{
+			worker: worker, rack: worker.Rack(), free: worker.Capacity, soon: worker.Capacity,
+			suspected: o.Suspected(worker.ID, now), steps: map[StepID]int{},
+		}
+		for id, run := range s.placed[worker.ID] {
+			r.hold(s, o, id, run)
+		}
+		b.rooms = append(b.rooms, r)
+		b.byWorker[worker.ID] = r
+	}
+	return b
+}
+
+func (r *room) hold(s *State, o *Observer, id RunID, run *Run) {
+	step := s.StepOf(id.Task)
+	if step == nil {
+		return
+	}
+	r.free = r.free.Minus(step.Counted())
+	if !o.Stopping(run) {
+		r.soon = r.soon.Minus(step.Counted())
+	}
+	r.steps[id.Task.StepID()]++
+	r.serves = r.serves || step.Serves()
+	r.fills = r.fills || step.Fills
+}
+
+// stopping makes a run's room free soon.
+func (b *board) stopping(run *Run) {
+	if run == nil || b.stopped[run.ID] {
+		return
+	}
+	b.stopped[run.ID] = true
+	r, known := b.byWorker[run.Worker]
+	step := b.state.StepOf(run.ID.Task)
+	if known && step != nil {
+		r.soon = r.soon.Plus(step.Counted())
+	}
+}
+
+// take books a task of a unit.
+func (b *board) take(r *room, u *unit) {
+	need := u.step.Counted()
+	r.free = r.free.Minus(need)
+	r.soon = r.soon.Minus(need)
+	r.steps[u.id()]++
+	r.serves = r.serves || u.step.Serves()
+	r.fills = r.fills || u.step.Fills
+}
+
+func (b *board) untake(r *room, u *unit) {
+	need := u.step.Counted()
+	r.free = r.free.Plus(need)
+	r.soon = r.soon.Plus(need)
+	r.steps[u.id()]--
+}
+
+// place books room for a unit. A unit that claims and finds no free room gets
+// what is being stopped, or has others stopped; it is assigned once they have
+// ended.
+func (b *board) place(u *unit) (Assign, []Stop) {
+	if u.step.Gang {
+		return b.placeGang(u)
+	}
+	var assign Assign
+	var stops []Stop
+	for _, index := range u.tasks {
+		r := b.best(u, u.task(index), b.rooms, freeRoom)
+		if r != nil {
+			b.take(r, u)
+			assign.Runs = append(assign.Runs, b.run(u, index, r))
+			continue
+		}
+		if !u.claims {
+			break
+		}
+		if r = b.best(u, u.task(index), b.rooms, soonRoom); r != nil {
+			b.take(r, u)
+			continue
+		}
+		r, ended := b.preempt(u, u.task(index), b.rooms)
+		if r == nil {
+			break
+		}
+		stops = append(stops, ended...)
+		b.take(r, u)
+	}
+	return assign, stops
+}
+
+func (b *board) run(u *unit, index int, r *room) Run {
+	task := &u.state.Tasks[index]
+	run := Run{
+		ID: RunID{Task: u.task(index), Number: task.Run + 1}, Worker: r.worker.ID, Born: r.worker.Born,
+		Checkpoint: task.Checkpoint,
+	}
+	if u.step.Gang {
+		run.ID.Number = u.state.Run + 1
+		run.Checkpoint = u.state.Checkpoint
+	}
+	if u.job.Terms.Advised {
+		run.Ticket = b.observer.Tickets[u.id()][r.worker.ID].Text
+	}
+	return run
+}
+
+func freeRoom(r *room) Resources { return r.free }
+
+func soonRoom(r *room) Resources { return r.soon }
+
+// best returns the room that suits a task best, nil if none fits.
+func (b *board) best(u *unit, task TaskID, rooms []*room, left func(*room) Resources) *room {
+	need := u.step.Counted()
+	var best *room
+	lowest := 0.0
+	for _, r := range rooms {
+		if !need.Fits(left(r)) || !b.allowed(u, r) {
+			continue
+		}
+		cost := b.cost(u, task, r, left(r).Minus(need))
+		if best == nil || cost < lowest {
+			best, lowest = r, cost
+		}
+	}
+	return best
+}
+
+// allowed reports whether a unit's tasks may run in a room at all.
+func (b *board) allowed(u *unit, r *room) bool {
+	step := u.step
+	switch {
+	case r.worker.Pool != u.job.Terms.Pool:
+		return false
+	case step.NeedsLabel != "" && !r.worker.Has(step.NeedsLabel):
+		return false
+	case step.SpreadLimit > 0 && r.steps[u.id()] >= step.SpreadLimit:
+		return false
+	case step.DataRack != "" && step.DataRack != r.rack && !b.patienceEnds(u):
+		return false
+	}
+	if u.job.Terms.Advised {
+		ticket, known := b.observer.Tickets[u.id()][r.worker.ID]
+		return known && ticket.Born == r.worker.Born && b.now.Before(ticket.Until)
+	}
+	return true
+}
+
+// patienceEnds reports whether a unit has waited for its rack for about as
+// long as it would lose elsewhere.
+func (b *board) patienceEnds(u *unit) bool {
+	if u.step.DataRack != "" && !b.hasRack(u.step.DataRack, u) {
+		return true
+	}
+	patience := time.Duration(u.step.EstimateMillis) * time.Millisecond
+	if u.claims {
+		patience /= 4
+	}
+	return u.waited >= patience
+}
+
+func (b *board) hasRack(rack string, u *unit) bool {
+	for _, r := range b.rooms {
+		if r.rack == rack && r.worker.Pool == u.job.Terms.Pool && u.step.Counted().Fits(r.worker.Capacity) {
+			return true
+		}
+	}
+	return false
+}
+
+// The costs of a room. What is left over after the task counts up to about 3.
+const (
+	costSuspected = 400
+	costAvoided   = 200
+	costDisturbs  = 100
+	costRemote    = 50
+)
+
+func (b *board) cost(u *unit, task TaskID, r *room, left Resources) float64 {
+	cost := fraction(left.CPU, r.worker.Capacity.CPU) +
+		fraction(left.Memory, r.worker.Capacity.Memory) +
+		fraction(left.Accelerators, r.worker.Capacity.Accelerators)
+	if r.suspected {
+		cost += costSuspected
+	}
+	if b.observer.Avoided(task, r.worker.ID) {
+		cost += costAvoided
+	}
+	if u.step.Serves() && r.fills || u.step.Fills && r.serves {
+		cost += costDisturbs
+	}
+	if u.step.DataRack != "" && u.step.DataRack != r.rack {
+		cost += costRemote
+	}
+	return cost
+}
+
+func fraction(part, whole int64) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+// preempt finds a room that a task fits into once others are stopped.
+func (b *board) preempt(u *unit, task TaskID, rooms []*room) (*room, []Stop) {
+	need := u.step.Counted()
+	var best *room
+	var chosen []*Run
+	lowest := 0.0
+	for _, r := range rooms {
+		if !b.allowed(u, r) {
+			continue
+		}
+		runs, cost, fits := b.evict(r, need)
+		cost += b.cost(u, task, r, Resources{})
+		if fits && (best == nil || cost < lowest) {
+			best, chosen, lowest = r, runs, cost
+		}
+	}
+	if best == nil {
+		return nil, nil
+	}
+	var stops []Stop
+	for _, run := range chosen {
+		b.stopping(run)
+		stops = append(stops, Stop{Run: run.ID, Reason: "preempted for " + task.String()})
+	}
+	return best, stops
+}
+
+// evict returns the cheapest runs found whose end makes enough room.
+func (b *board) evict(r *room, need Resources) ([]*Run, float64, bool) {
+	left := r.soon
+	var chosen []*Run
+	cost := 0.0
+	for _, run := range victims(b.state, b.observer, r.worker.ID, b.wall) {
+		if need.Fits(left) {
+			break
+		}
+		if b.stopped[run.ID] {
+			continue
+		}
+		job := b.state.jobs[run.ID.Task.Job]
+		step, _, _ := job.step(run.ID.Task)
+		if !helps(step.Counted(), need, left) {
+			continue
+		}
+		left = left.Plus(step.Counted())
+		cost += lost(job, run, b.wall)
+		chosen = append(chosen, run)
+	}
+	return chosen, cost, need.Fits(left)
+}
+
+// helps reports whether a run holds any of what is short.
+func helps(held, need, left Resources) bool {
+	return need.CPU > left.CPU && held.CPU > 0 ||
+		need.Memory > left.Memory && held.Memory > 0 ||
+		need.Accelerators > left.Accelerators && held.Accelerators > 0
+}
+
+// racks returns the rooms of each rack, in the order of their names.
+func (b *board) racks() [][]*room {
+	byName := map[string][]*room{}
+	var names []string
+	for _, r := range b.rooms {
+		if _, known := byName[r.rack]; !known {
+			names = append(names, r.rack)
+		}
+		byName[r.rack] = append(byName[r.rack], r)
+	}
+	sort.Strings(names)
+	racks := make([][]*room, len(names))
+	for i, name := range names {
+		racks[i] = byName[name]
+	}
+	return racks
+}
--- /dev/null
+++ b/scheduler/catalog.go
@@ -0,0 +1,210 @@
+package scheduler
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"cranberrystack.dev/cranberrystack/identifier"
+)
+
+// ErrBadCatalog reports a catalog that can't take effect.
+var ErrBadCatalog = eris.New("catalog is invalid")
+
+// Advice says that a policy outside the system chooses the workers of a queue.
+type Advice struct {
+	DecideMillis int64 `json:"decide-ms"`
+	PeriodMillis int64 `json:"period-ms"`
+	ValidMillis  int64 `json:"valid-ms"`
+}
+
+// Queue takes jobs under an address.
+type Queue struct {
+	Name QueueName `json:"name"`
+	// Host and PathPrefix are the queue's address.
+	Host       string   `json:"host"`
+	PathPrefix string   `json:"path-prefix"`
+	Pool       PoolName `json:"worker-pool"`
+	// Priority 0 comes first and may preempt the others.
+	Priority    int `json:"priority"`
+	MaxAttempts int `json:"max-attempts"`
+	// Stretch times the longest chain of work, plus ObjectiveMillis, is the
+	// time in which a job should be completed.
+	Stretch         float64 `json:"stretch"`
+	ObjectiveMillis int64   `json:"objective-ms"`
+	TimeoutMillis   int64   `json:"timeout-ms"`
+	// Open says that callers need no key.
+	Open   bool    `json:"open"`
+	Advice *Advice `json:"advice,omitempty"`
+}
+
+// Pool is a group of workers.
+type Pool struct {
+	Name PoolName `json:"name"`
+	// GuardsCapacity says that the workers refuse what does not fit.
+	GuardsCapacity bool `json:"guards-capacity"`
+	Standby        bool `json:"standby"`
+}
+
+// Team is a customer with keys and a guarantee.
+type Team struct {
+	Name      identifier.TeamID `json:"name"`
+	Keys      []string          `json:"keys"`
+	Priority  int               `json:"priority"`
+	Guarantee Resources         `json:"guarantee"`
+}
+
+// Catalog is the lists of the operators. The highest version takes effect.
+type Catalog struct {
+	Version uint64  `json:"version"`
+	Queues  []Queue `json:"queues"`
+	Pools   []Pool  `json:"pools"`
+	Teams   []Team  `json:"teams"`
+}
+
+type catalogDocument struct {
+	Version *uint64  `json:"version"`
+	Queues  *[]Queue `json:"queues"`
+	Pools   *[]Pool  `json:"pools"`
+	Teams   []Team   `json:"teams"`
+}
+
+// ParseCatalog reads and checks a catalog. It fails with ErrBadCatalog and the
+// rule that is broken.
+func ParseCatalog(document []byte) (Catalog, error) {
+	var read catalogDocument
+	decoder := json.NewDecoder(bytes.NewReader(document))
+	if err := decoder.Decode(&read); err != nil {
+		return Catalog{}, fmt.Errorf("%v: %w", err, ErrBadCatalog)
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return Catalog{}, fmt.Errorf("data behind the end: %w", ErrBadCatalog)
+	}
+	if read.Version == nil || read.Queues == nil || read.Pools == nil {
+		return Catalog{}, fmt.Errorf("version, queues or pools are missing: %w", ErrBadCatalog)
+	}
+	catalog := Catalog{Version: *read.Version, Queues: *read.Queues, Pools: *read.Pools, Teams: read.Teams}
+	if err := catalog.check(); err != nil {
+		return Catalog{}, fmt.Errorf("version %d: %v: %w", catalog.Version, err, ErrBadCatalog)
+	}
+	return catalog, nil
+}
+
+func (c *Catalog) check() error {
+	if c.Version == 0 {
+		return eris.New("version is 0")
+	}
+	if err := c.checkQueues(); err != nil {
+		return err
+	}
+	return c.checkKeys()
+}
+
+func (c *Catalog) checkQueues() error {
+	addresses := map[string]QueueName{}
+	names := map[QueueName]bool{}
+	for i := range c.Queues {
+		queue := &c.Queues[i]
+		address := strings.ToLower(queue.Host) + queue.PathPrefix
+		if taken, found := addresses[address]; found {
+			return eris.Errorf("queues %q and %q share the address %q", taken, queue.Name, address)
+		}
+		addresses[address] = queue.Name
+		switch {
+		case queue.Name == "" || names[queue.Name]:
+			return eris.Errorf("queue name %q is empty or taken", queue.Name)
+		case c.Pool(queue.Pool) == nil:
+			return eris.Errorf("queue %q names the unknown pool %q", queue.Name, queue.Pool)
+		case queue.TimeoutMillis <= 0:
+			return eris.Errorf("queue %q has the timeout %d", queue.Name, queue.TimeoutMillis)
+		case queue.MaxAttempts < 0 || queue.Priority < 0 || queue.Stretch < 0:
+			return eris.Errorf("queue %q has a negative limit", queue.Name)
+		}
+		names[queue.Name] = true
+	}
+	return nil
+}
+
+func (c *Catalog) checkKeys() error {
+	owners := map[string]identifier.TeamID{}
+	for _, team := range c.Teams {
+		for _, key := range team.Keys {
+			if owner, taken := owners[key]; taken && owner != team.Name {
+				return eris.Errorf("teams %q and %q share a key", owner, team.Name)
+			}
+			owners[key] = team.Name
+		}
+	}
+	return nil
+}
+
+// Pool returns a pool by name, nil if there is none.
+func (c *Catalog) Pool(name PoolName) *Pool {
+	for i := range c.Pools {
+		if c.Pools[i].Name == name {
+			return &c.Pools[i]
+		}
+	}
+	return nil
+}
+
+// Queue returns a queue by name, nil if there is none.
+func (c *Catalog) Queue(name QueueName) *Queue {
+	for i := range c.Queues {
+		if c.Queues[i].Name == name {
+			return &c.Queues[i]
+		}
+	}
+	return nil
+}
+
+// Find returns the queue whose address is the longest match, and what follows
+// the address. It returns nil if there is none.
+func (c *Catalog) Find(host, path string) (*Queue, string) {
+	if colon := strings.LastIndexByte(host, ':'); colon >= 0 {
+		host = host[:colon]
+	}
+	var best *Queue
+	for i := range c.Queues {
+		queue := &c.Queues[i]
+		if !strings.EqualFold(queue.Host, host) || !strings.HasPrefix(path, queue.PathPrefix) {
+			continue
+		}
+		if best == nil || len(queue.PathPrefix) > len(best.PathPrefix) {
+			best = queue
+		}
+	}
+	if best == nil {
+		return nil, ""
+	}
+	return best, path[len(best.PathPrefix):]
+}
+
+// Team returns the team that holds a key.
+func (c *Catalog) Team(key string) (identifier.TeamID, bool) {
+	if key == "" {
+		return "", false
+	}
+	for i := range c.Teams {
+		for _, own := range c.Teams[i].Keys {
+			if own == key {
+				return c.Teams[i].Name, true
+			}
+		}
+	}
+	return "", false
+}
+
+// Guarantee returns what belongs to a team at all times.
+func (c *Catalog) Guarantee(name identifier.TeamID) Resources {
+	for i := range c.Teams {
+		if c.Teams[i].Name == name {
+			return c.Teams[i].Guarantee
+		}
+	}
+	return Resources{}
+}
--- /dev/null
+++ b/scheduler/job.go
@@ -0,0 +1,272 @@
+package scheduler
+
+import (
+	"regexp"
+
+	"github.com/rotisserie/eris"
+
+	"cranberrystack.dev/cranberrystack/identifier"
+)
+
+const (
+	// MaxSpecBytes bounds the text that tells workers what to run.
+	MaxSpecBytes = 4000
+	maxTasks     = 100000
+	maxRepeat    = 100000
+)
+
+// ErrBadJob reports a job that can't be taken.
+var ErrBadJob = eris.New("job is invalid")
+
+var jobID = regexp.MustCompile(`^[0-9a-f]{16}$`)
+
+// CheckJobID reports whether a text can be the id of a job.
+func CheckJobID(text string) bool { return jobID.MatchString(text) }
+
+// Step is a group of equal tasks.
+type Step struct {
+	Width int `json:"width"`
+	Resources
+	EstimateMillis int64 `json:"estimate-ms,omitempty"`
+	// DependsOn are the numbers of earlier steps that must be done first.
+	DependsOn []int `json:"depends-on,omitempty"`
+	// Gang says that the tasks work only together.
+	Gang bool `json:"gang,omitempty"`
+	// SameRack says that the tasks are slow on more than one rack.
+	SameRack   bool   `json:"same-rack,omitempty"`
+	NeedsLabel string `json:"needs-label,omitempty"`
+	// DataRack is where the step's data is near.
+	DataRack string `json:"data-rack,omitempty"`
+	// SpreadLimit bounds the tasks of one occurrence on one worker; 0 is none.
+	SpreadLimit int  `json:"spread-limit,omitempty"`
+	Checkpoints bool `json:"checkpoints,omitempty"`
+	// Copies allows several runs of a task at a time.
+	Copies bool `json:"copies,omitempty"`
+	// LongRunning tasks run until the job is cancelled.
+	LongRunning bool   `json:"long-running,omitempty"`
+	Image       string `json:"image,omitempty"`
+	// TargetMillis bounds the tail of the response times of a task that serves.
+	TargetMillis int64 `json:"target-ms,omitempty"`
+	// Fills says that CPU is not counted: the tasks use what others leave.
+	Fills bool `json:"fills,omitempty"`
+	// MayMiss is how many tasks may be away at a time by the system's doing.
+	MayMiss int `json:"may-miss,omitempty"`
+}
+
+// Counted returns what a task of the step takes from a worker's capacity.
+func (s *Step) Counted() Resources {
+	counted := s.Resources
+	if s.Fills {
+		counted.CPU = 0
+	}
+	return counted
+}
+
+// Serves reports whether the step's tasks have users of their own.
+func (s *Step) Serves() bool { return s.TargetMillis > 0 }
+
+// Request is a job as its caller submits it.
+type Request struct {
+	Spec  string `json:"spec"`
+	Steps []Step `json:"steps"`
+	// StartAt is when the first occurrence is due; 0 is at once.
+	StartAt UnixMilli `json:"start-at-ms,omitempty"`
+	// Repeat is the number of occurrences; 0 is one, due at once.
+	Repeat         int   `json:"repeat,omitempty"`
+	IntervalMillis int64 `json:"interval-ms,omitempty"`
+}
+
+// Check returns why a request can't be taken, or nil.
+func (r *Request) Check() error {
+	if len(r.Spec) > MaxSpecBytes {
+		return eris.Wrapf(ErrBadJob, "spec is over %d bytes", MaxSpecBytes)
+	}
+	if len(r.Steps) == 0 {
+		return eris.Wrap(ErrBadJob, "no steps")
+	}
+	if r.Repeat < 0 || r.Repeat > maxRepeat || r.IntervalMillis < 0 || r.StartAt < 0 {
+		return eris.Wrap(ErrBadJob, "times are out of range")
+	}
+	tasks := 0
+	for i := range r.Steps {
+		step := &r.Steps[i]
+		if step.Width <= 0 || step.Width > maxTasks || step.CPU < 0 || step.Memory < 0 || step.Accelerators < 0 {
+			return eris.Wrapf(ErrBadJob, "step %d has a size out of range", i)
+		}
+		for _, before := range step.DependsOn {
+			if before < 0 || before >= i {
+				return eris.Wrapf(ErrBadJob, "step %d depends on step %d", i, before)
+			}
+		}
+		tasks += step.Width
+	}
+	if tasks*r.occurrences() > maxTasks {
+		return eris.Wrapf(ErrBadJob, "more than %d tasks", maxTasks)
+	}
+	return nil
+}
+
+func (r *Request) occurrences() int { return max(1, r.Repeat) }
+
+// due returns when an occurrence may start.
+func (r *Request) due(occurrence int, accepted UnixMilli) UnixMilli {
+	if r.Repeat == 0 && r.StartAt == 0 {
+		return accepted
+	}
+	return r.StartAt + UnixMilli(int64(occurrence)*r.IntervalMillis)
+}
+
+// timed reports whether the job starts by the time of day.
+func (r *Request) timed() bool { return r.Repeat > 0 || r.StartAt > 0 }
+
+// chain returns the longest chain of work, in milliseconds.
+func (r *Request) chain() int64 {
+	longest := int64(0)
+	for i := range r.Steps {
+		longest = max(longest, r.chainTo(i))
+	}
+	return longest
+}
+
+func (r *Request) chainTo(step int) int64 {
+	ends := make([]int64, step+1)
+	for i := 0; i <= step; i++ {
+		for _, before := range r.Steps[i].DependsOn {
+			ends[i] = max(ends[i], ends[before])
+		}
+		ends[i] += r.Steps[i].EstimateMillis
+	}
+	return ends[step]
+}
+
+// Terms are the queue's promises and limits for a job.
+type Terms struct {
+	Pool            PoolName `json:"pool"`
+	Priority        int      `json:"priority"`
+	MaxAttempts     int      `json:"max-attempts"`
+	Stretch         float64  `json:"stretch"`
+	ObjectiveMillis int64    `json:"objective-ms"`
+	Advised         bool     `json:"advised,omitempty"`
+}
+
+func (q *Queue) terms() Terms {
+	return Terms{
+		Pool: q.Pool, Priority: q.Priority, MaxAttempts: max(1, q.MaxAttempts),
+		Stretch: q.Stretch, ObjectiveMillis: q.ObjectiveMillis, Advised: q.Advice != nil,
+	}
+}
+
+// Phase is how far a job is.
+type Phase string
+
+// The phases of a job.
+const (
+	PhaseActive    Phase = "active"
+	PhaseCompleted Phase = "completed"
+	PhaseFailed    Phase = "failed"
+	PhaseCancelled Phase = "cancelled"
+)
+
+// Job is an accepted job.
+type Job struct {
+	ID       identifier.JobID  `json:"id"`
+	Queue    QueueName         `json:"queue"`
+	Team     identifier.TeamID `json:"team,omitempty"`
+	Terms    Terms             `json:"terms"`
+	Request  Request           `json:"request"`
+	Accepted UnixMilli         `json:"accepted"`
+	Phase    Phase             `json:"phase"`
+	Ended    UnixMilli         `json:"ended,omitempty"`
+	// Reason says why the job failed.
+	Reason string `json:"reason,omitempty"`
+	// Started is set by the first assignment and never cleared.
+	Started     bool         `json:"started,omitempty"`
+	Occurrences []Occurrence `json:"occurrences"`
+
+	chainMillis int64
+}
+
+// Occurrence is one time that the steps run.
+type Occurrence struct {
+	Due   UnixMilli   `json:"due"`
+	Steps []StepState `json:"steps"`
+	// Left counts the steps that are not done.
+	Left int `json:"left"`
+}
+
+// StepState is how far a step of an occurrence is.
+type StepState struct {
+	Tasks []Task `json:"tasks"`
+	// Left counts the tasks that are not done.
+	Left int `json:"left"`
+	// Live counts the runs that may be alive.
+	Live int `json:"live,omitempty"`
+	// Run, Failures, FailedRun and Checkpoint belong to the gang.
+	Run        int    `json:"run,omitempty"`
+	Failures   int    `json:"failures,omitempty"`
+	FailedRun  int    `json:"failed-run,omitempty"`
+	Checkpoint string `json:"checkpoint,omitempty"`
+}
+
+// Task is how far a task is.
+type Task struct {
+	Done bool `json:"done,omitempty"`
+	// Run is the highest number given out; it never decreases.
+	Run        int    `json:"run,omitempty"`
+	Failures   int    `json:"failures,omitempty"`
+	Checkpoint string `json:"checkpoint,omitempty"`
+	// Live counts the runs that may be alive.
+	Live int `json:"live,omitempty"`
+}
+
+func newJob(id identifier.JobID, queue *Queue, team identifier.TeamID, request Request, now UnixMilli) *Job {
+	job := &Job{
+		ID: id, Queue: queue.Name, Team: team, Terms: queue.terms(), Request: request,
+		Accepted: now, Phase: PhaseActive, chainMillis: request.chain(),
+	}
+	for k := 0; k < request.occurrences(); k++ {
+		occurrence := Occurrence{Due: request.due(k, now), Left: len(request.Steps)}
+		for i := range request.Steps {
+			width := request.Steps[i].Width
+			occurrence.Steps = append(occurrence.Steps, StepState{Tasks: make([]Task, width), Left: width})
+		}
+		job.Occurrences = append(job.Occurrences, occurrence)
+	}
+	return job
+}
+
+// Active reports whether the job still has work.
+func (j *Job) Active() bool { return j.Phase == PhaseActive }
+
+func (j *Job) step(id TaskID) (*Step, *StepState, *Task) {
+	if id.Occurrence >= len(j.Occurrences) || id.Step >= len(j.Request.Steps) {
+		return nil, nil, nil
+	}
+	state := &j.Occurrences[id.Occurrence].Steps[id.Step]
+	if id.Index >= len(state.Tasks) {
+		return nil, nil, nil
+	}
+	return &j.Request.Steps[id.Step], state, &state.Tasks[id.Index]
+}
+
+// ready reports whether the steps that a step depends on are done.
+func (j *Job) ready(occurrence, step int) bool {
+	for _, before := range j.Request.Steps[step].DependsOn {
+		if j.Occurrences[occurrence].Steps[before].Left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// objective returns by when an occurrence should be completed.
+func (j *Job) objective(occurrence int) UnixMilli {
+	span := j.Terms.Stretch*float64(j.chainMillis) + float64(j.Terms.ObjectiveMillis)
+	return j.Occurrences[occurrence].Due + UnixMilli(span)
+}
+
+func (j *Job) end(phase Phase, reason string, now UnixMilli) {
+	j.Phase = phase
+	j.Reason = reason
+	j.Ended = now
+}
--- /dev/null
+++ b/scheduler/planner.go
@@ -0,0 +1,285 @@
+package scheduler
+
+import (
+	"sort"
+	"time"
+
+	"cranberrystack.dev/cranberrystack/identifier"
+)
+
+// Stop is a run that should end, and why.
+type Stop struct {
+	Run    RunID
+	Reason string
+}
+
+// Plan is what the leader should do now.
+type Plan struct {
+	// Assign holds placements; each is for one step, whole if it is a gang.
+	Assign []Assign
+	Stop   []Stop
+	// Advise are the steps whose queues need advice before they can start.
+	Advise []StepID
+}
+
+// Planner chooses what runs where. It keeps since when each step has waited.
+// It is not safe for concurrent use.
+type Planner struct {
+	waiting map[StepID]time.Time
+}
+
+// NewPlanner returns a planner.
+func NewPlanner() *Planner {
+	return &Planner{waiting: map[StepID]time.Time{}}
+}
+
+// unit is what is placed at once: a gang, or the waiting tasks of a step.
+type unit struct {
+	job        *Job
+	occurrence int
+	number     int
+	step       *Step
+	state      *StepState
+	tasks      []int
+	// claims says that the unit may preempt.
+	claims bool
+	// rank orders units; a lower one goes first.
+	rank int
+	// due is by when the unit has to be done.
+	due    UnixMilli
+	waited time.Duration
+}
+
+func (u *unit) id() StepID {
+	return StepID{Job: u.job.ID, Occurrence: u.occurrence, Step: u.number}
+}
+
+func (u *unit) task(index int) TaskID {
+	return TaskID{Job: u.job.ID, Occurrence: u.occurrence, Step: u.number, Index: index}
+}
+
+// Plan returns what to do. wall is the time of day.
+func (p *Planner) Plan(s *State, o *Observer, now time.Time, wall UnixMilli) Plan {
+	var plan Plan
+	plan.Stop = p.stops(s, o, now, wall)
+	board := newBoard(s, o, now, wall)
+	for _, stop := range plan.Stop {
+		board.stopping(s.runs[stop.Run])
+	}
+	for _, u := range p.units(s, now, wall) {
+		if u.job.Terms.Advised && !o.Advised(u.id(), now) {
+			plan.Advise = append(plan.Advise, u.id())
+			continue
+		}
+		assign, stops := board.place(u)
+		if len(assign.Runs) > 0 {
+			plan.Assign = append(plan.Assign, assign)
+		}
+		plan.Stop = append(plan.Stop, stops...)
+	}
+	return plan
+}
+
+// units returns what is ready to start, the most urgent first.
+func (p *Planner) units(s *State, now time.Time, wall UnixMilli) []*unit {
+	var units []*unit
+	seen := map[StepID]time.Time{}
+	for _, job := range s.active {
+		for k := range job.Occurrences {
+			occurrence := &job.Occurrences[k]
+			if occurrence.Left == 0 || occurrence.Due > wall {
+				continue
+			}
+			for i := range occurrence.Steps {
+				u := waitingUnit(job, k, i)
+				if u == nil {
+					continue
+				}
+				since, known := p.waiting[u.id()]
+				if !known {
+					since = now
+				}
+				seen[u.id()] = since
+				u.waited = now.Sub(since)
+				u.rate(wall)
+				units = append(units, u)
+			}
+		}
+	}
+	p.waiting = seen
+	sort.Slice(units, func(i, j int) bool { return before(units[i], units[j]) })
+	return units
+}
+
+func before(a, b *unit) bool {
+	switch {
+	case a.rank != b.rank:
+		return a.rank < b.rank
+	case a.due != b.due:
+		return a.due < b.due
+	case a.job.ID != b.job.ID:
+		return a.job.ID < b.job.ID
+	case a.occurrence != b.occurrence:
+		return a.occurrence < b.occurrence
+	}
+	return a.number < b.number
+}
+
+// waitingUnit returns the tasks of a step that wait to be started, nil if
+// there are none.
+func waitingUnit(job *Job, occurrence, number int) *unit {
+	step := &job.Request.Steps[number]
+	state := &job.Occurrences[occurrence].Steps[number]
+	if state.Left == 0 || !job.ready(occurrence, number) || step.Gang && state.Live > 0 {
+		return nil
+	}
+	u := &unit{job: job, occurrence: occurrence, number: number, step: step, state: state}
+	for i := range state.Tasks {
+		if !state.Tasks[i].Done && state.Tasks[i].Live == 0 {
+			u.tasks = append(u.tasks, i)
+		}
+	}
+	if len(u.tasks) == 0 {
+		return nil
+	}
+	return u
+}
+
+// hopelessRank is that of work that can't earn anything any more.
+const hopelessRank = 1000
+
+// rate sets how urgent the unit is.
+func (u *unit) rate(wall UnixMilli) {
+	u.claims = u.job.Terms.Priority == 0 || u.step.LongRunning
+	u.rank = u.job.Terms.Priority
+	if u.step.LongRunning {
+		u.rank = 0
+	}
+	objective := u.job.objective(u.occurrence)
+	u.due = objective - UnixMilli(u.job.chainMillis)
+	span := objective - u.job.Occurrences[u.occurrence].Due
+	const lateFactor = 3
+	if !u.claims && wall > objective+(lateFactor-1)*span {
+		u.rank += hopelessRank
+	}
+}
+
+// stops returns the runs that should end whatever else waits.
+func (p *Planner) stops(s *State, o *Observer, now time.Time, wall UnixMilli) []Stop {
+	var stops []Stop
+	for id, run := range s.runs {
+		if o.Stopping(run) {
+			continue
+		}
+		if reason := stopReason(s, o, run, now, wall); reason != "" {
+			stops = append(stops, Stop{Run: id, Reason: reason})
+		}
+	}
+	sort.Slice(stops, func(i, j int) bool { return less(stops[i].Run, stops[j].Run) })
+	return stops
+}
+
+func less(a, b RunID) bool {
+	switch {
+	case a.Task.Job != b.Task.Job:
+		return a.Task.Job < b.Task.Job
+	case a.Task.Occurrence != b.Task.Occurrence:
+		return a.Task.Occurrence < b.Task.Occurrence
+	case a.Task.Step != b.Task.Step:
+		return a.Task.Step < b.Task.Step
+	case a.Task.Index != b.Task.Index:
+		return a.Task.Index < b.Task.Index
+	}
+	return a.Number < b.Number
+}
+
+func stopReason(s *State, o *Observer, run *Run, now time.Time, wall UnixMilli) string {
+	job := s.jobs[run.ID.Task.Job]
+	if job == nil {
+		return "job is forgotten"
+	}
+	step, state, task := job.step(run.ID.Task)
+	switch {
+	case job.Phase == PhaseCancelled:
+		return "job was cancelled"
+	case job.Phase == PhaseFailed:
+		return "job has failed"
+	case task.Done && !step.Gang:
+		return "another run was first"
+	case step.Gang && state.Left > 0 && state.Live < step.Width:
+		return "gang is not whole"
+	}
+	worker := s.workers[run.Worker]
+	if worker != nil && worker.State == WorkerDraining && leavesEarly(step, worker, run, o, wall) {
+		return "worker is leaving"
+	}
+	return ""
+}
+
+// leavesEarly reports whether a draining worker is expected to be gone before
+// a run ends.
+func leavesEarly(step *Step, worker *Worker, run *Run, o *Observer, wall UnixMilli) bool {
+	if step.LongRunning {
+		return true
+	}
+	const margin = 500
+	left := worker.LeavesMillis - int64(wall-worker.Drained) - margin
+	return remaining(step, run, o, wall) > left
+}
+
+// remaining estimates how long a run still takes, in milliseconds.
+func remaining(step *Step, run *Run, o *Observer, wall UnixMilli) int64 {
+	elapsed := int64(wall - run.Assigned)
+	if watch := o.Known(run.Worker); watch != nil {
+		if progress, seen := watch.Progress[run.ID]; seen && progress.Percent > 5 {
+			return elapsed * int64(100-progress.Percent) / int64(progress.Percent)
+		}
+	}
+	return max(step.EstimateMillis-elapsed, step.EstimateMillis/4)
+}
+
+// lost returns how much work a stop throws away, in core-milliseconds.
+func lost(job *Job, run *Run, wall UnixMilli) float64 {
+	step, _, _ := job.step(run.ID.Task)
+	elapsed := float64(wall - run.Assigned)
+	if step.Checkpoints {
+		const resumeCost = 600
+		elapsed = resumeCost
+	}
+	cost := elapsed * step.Counted().Cores()
+	if step.Gang {
+		cost *= float64(step.Width)
+	}
+	return cost
+}
+
+// victims returns the runs on a worker that a claim may end, those that lose
+// least first.
+func victims(s *State, o *Observer, id identifier.WorkerID, wall UnixMilli) []*Run {
+	type candidate struct {
+		run  *Run
+		cost float64
+	}
+	var all []candidate
+	for _, run := range s.placed[id] {
+		job := s.jobs[run.ID.Task.Job]
+		if job == nil || o.Stopping(run) || job.Terms.Priority == 0 {
+			continue
+		}
+		if step, _, _ := job.step(run.ID.Task); step.LongRunning {
+			continue
+		}
+		all = append(all, candidate{run: run, cost: lost(job, run, wall)})
+	}
+	sort.Slice(all, func(i, j int) bool {
+		if all[i].cost != all[j].cost {
+			return all[i].cost < all[j].cost
+		}
+		return less(all[i].run.ID, all[j].run.ID)
+	})
+	runs := make([]*Run, len(all))
+	for i := range all {
+		runs[i] = all[i].run
+	}
+	return runs
+}
--- /dev/null
+++ b/scheduler/state.go
@@ -0,0 +1,234 @@
+package scheduler
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+
+	"cranberrystack.dev/cranberrystack/identifier"
+)
+
+// retention is how long ended jobs are remembered.
+const retention = UnixMilli(10 * 60 * 1000)
+
+// State is what all instances that hold the log agree on. It is not safe for
+// concurrent use.
+type State struct {
+	catalog  Catalog
+	document Document
+	jobs     map[identifier.JobID]*Job
+	workers  map[identifier.WorkerID]*Worker
+	runs     map[RunID]*Run
+	waves    map[WaveID]*Wave
+	// forgotten is when ended jobs were last looked through.
+	forgotten UnixMilli
+
+	// The fields below follow from those above.
+
+	// active holds the jobs that have not ended, by id.
+	active map[identifier.JobID]*Job
+	// placed holds the runs of each worker.
+	placed map[identifier.WorkerID]map[RunID]*Run
+}
+
+// NewState returns the state before the first command.
+func NewState() *State {
+	return &State{
+		jobs:    map[identifier.JobID]*Job{},
+		workers: map[identifier.WorkerID]*Worker{},
+		runs:    map[RunID]*Run{},
+		waves:   map[WaveID]*Wave{},
+		active:  map[identifier.JobID]*Job{},
+		placed:  map[identifier.WorkerID]map[RunID]*Run{},
+	}
+}
+
+// storedState is the durable form of a State.
+type storedState struct {
+	Document Document  `json:"document,omitempty"`
+	Jobs     []*Job    `json:"jobs,omitempty"`
+	Workers  []*Worker `json:"workers,omitempty"`
+	Runs     []*Run    `json:"runs,omitempty"`
+	Waves    []*Wave   `json:"waves,omitempty"`
+	// Forgotten is when ended jobs were last looked through.
+	Forgotten UnixMilli `json:"forgotten,omitempty"`
+}
+
+// Snapshot returns the whole state.
+func (s *State) Snapshot() ([]byte, error) {
+	stored := storedState{Document: s.document, Forgotten: s.forgotten}
+	for _, job := range s.jobs {
+		stored.Jobs = append(stored.Jobs, job)
+	}
+	for _, worker := range s.workers {
+		stored.Workers = append(stored.Workers, worker)
+	}
+	for _, run := range s.runs {
+		stored.Runs = append(stored.Runs, run)
+	}
+	for _, wave := range s.waves {
+		stored.Waves = append(stored.Waves, wave)
+	}
+	sort.Slice(stored.Jobs, func(i, j int) bool { return stored.Jobs[i].ID < stored.Jobs[j].ID })
+	data, err := json.Marshal(stored)
+	if err != nil {
+		return nil, fmt.Errorf("encode state: %w", err)
+	}
+	return data, nil
+}
+
+// Restore replaces the state by a snapshot.
+func (s *State) Restore(data []byte) error {
+	var stored storedState
+	if err := json.Unmarshal(data, &stored); err != nil {
+		return fmt.Errorf("decode state: %w", err)
+	}
+	fresh := NewState()
+	fresh.forgotten = stored.Forgotten
+	if len(stored.Document) > 0 {
+		catalog, err := ParseCatalog(stored.Document)
+		if err != nil {
+			return fmt.Errorf("restore the catalog: %w", err)
+		}
+		fresh.catalog = catalog
+		fresh.document = stored.Document
+	}
+	for _, job := range stored.Jobs {
+		job.chainMillis = job.Request.chain()
+		fresh.jobs[job.ID] = job
+		if job.Active() {
+			fresh.active[job.ID] = job
+		}
+	}
+	for _, worker := range stored.Workers {
+		fresh.workers[worker.ID] = worker
+	}
+	for _, run := range stored.Runs {
+		fresh.runs[run.ID] = run
+		fresh.place(run)
+	}
+	for _, wave := range stored.Waves {
+		fresh.waves[wave.ID] = wave
+	}
+	*s = *fresh
+	return nil
+}
+
+// Catalog returns the catalog in force; its version is 0 if there is none.
+func (s *State) Catalog() *Catalog { return &s.catalog }
+
+// Document returns the catalog in force as it was sent, nil if there is none.
+func (s *State) Document() Document { return s.document }
+
+// Job returns a job, nil if it is not known.
+func (s *State) Job(id identifier.JobID) *Job { return s.jobs[id] }
+
+// Worker returns a worker, nil if it is not known.
+func (s *State) Worker(id identifier.WorkerID) *Worker { return s.workers[id] }
+
+// Workers returns all workers in the order of their ids.
+func (s *State) Workers() []*Worker {
+	all := make([]*Worker, 0, len(s.workers))
+	for _, worker := range s.workers {
+		all = append(all, worker)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
+	return all
+}
+
+// Run returns a run that may be alive, nil if there is none.
+func (s *State) Run(id RunID) *Run { return s.runs[id] }
+
+// RunsOf returns the runs of a job that may be alive, in order.
+func (s *State) RunsOf(id identifier.JobID) []*Run {
+	var runs []*Run
+	for _, run := range s.runs {
+		if run.ID.Task.Job == id {
+			runs = append(runs, run)
+		}
+	}
+	sort.Slice(runs, func(i, j int) bool { return less(runs[i].ID, runs[j].ID) })
+	return runs
+}
+
+// Placed returns the runs that may be alive on a worker. The caller must not
+// change the map.
+func (s *State) Placed(id identifier.WorkerID) map[RunID]*Run { return s.placed[id] }
+
+// Wave returns a wave, nil if it is not known.
+func (s *State) Wave(id WaveID) *Wave { return s.waves[id] }
+
+// Waves returns the waves that are not completed, in the order of their ids.
+func (s *State) Waves() []*Wave {
+	var open []*Wave
+	for _, wave := range s.waves {
+		if !wave.Completed() || wave.down() > 0 {
+			open = append(open, wave)
+		}
+	}
+	sort.Slice(open, func(i, j int) bool { return open[i].ID < open[j].ID })
+	return open
+}
+
+// StepOf returns the step that a run belongs to, nil if its job is forgotten.
+func (s *State) StepOf(id TaskID) *Step {
+	job, known := s.jobs[id.Job]
+	if !known {
+		return nil
+	}
+	step, _, _ := job.step(id)
+	return step
+}
+
+// Pending counts the jobs of a queue of which no task has started.
+func (s *State) Pending(queue QueueName) int {
+	count := 0
+	for _, job := range s.active {
+		if job.Queue == queue && !job.Started {
+			count++
+		}
+	}
+	return count
+}
+
+// Statistics describes the state in numbers.
+type Statistics struct {
+	Version uint64 `json:"version"`
+	Active  int    `json:"active"`
+	Jobs    int    `json:"jobs"`
+	Workers int    `json:"workers"`
+	Runs    int    `json:"runs"`
+}
+
+// Statistics returns the state in numbers.
+func (s *State) Statistics() Statistics {
+	return Statistics{
+		Version: s.catalog.Version, Active: len(s.active), Jobs: len(s.jobs),
+		Workers: len(s.workers), Runs: len(s.runs),
+	}
+}
+
+func (s *State) place(run *Run) {
+	runs, known := s.placed[run.Worker]
+	if !known {
+		runs = map[RunID]*Run{}
+		s.placed[run.Worker] = runs
+	}
+	runs[run.ID] = run
+}
+
+func (s *State) remove(run *Run) {
+	delete(s.runs, run.ID)
+	delete(s.placed[run.Worker], run.ID)
+	if len(s.placed[run.Worker]) == 0 {
+		delete(s.placed, run.Worker)
+	}
+	job, known := s.jobs[run.ID.Task.Job]
+	if !known {
+		return
+	}
+	if _, state, task := job.step(run.ID.Task); task != nil {
+		state.Live--
+		task.Live--
+	}
+}
