Refuse at once what never left an instance; answer unknown outcomes soon

Change: the messenger tells whether a connection was had at all; an unknown outcome is answered within 0.9 s; election timeout 700 ms instead of 1 s.

--- a/cranberryd/loader/node.go
+++ b/cranberryd/loader/node.go
@@ -142,7 +142,7 @@
 func DefaultNode() *NodeSettings {
 	return &NodeSettings{
 		Bounds:  NodeBounds{Grace: "6s", MaxLease: "6s", DutyLease: "3s"},
-		Control: NodeControl{HeartbeatInterval: "150ms", ElectionTimeout: "1s", CompactEntries: 2000, ToleratedLosses: 1},
+		Control: NodeControl{HeartbeatInterval: "120ms", ElectionTimeout: "700ms", CompactEntries: 2000, ToleratedLosses: 1},
 		Log:     NodeLog{LinesPerSecond: 400},
 	}
 }
--- a/cranberryd/node/gateway.go
+++ b/cranberryd/node/gateway.go
@@ -9,6 +9,7 @@
 	"cranberrystack.dev/cranberryd/loader"
 	"cranberrystack.dev/cranberrystack/forwarder"
 	"cranberrystack.dev/cranberrystack/kernel"
+	"cranberrystack.dev/cranberrystack/messenger"
 	"cranberrystack.dev/cranberrystack/platform"
 )
 
@@ -25,7 +26,7 @@
 
 func (p *parts) newForwarder(local forwarder.Handler) *forwarder.Forwarder {
 	f := forwarder.New(forwarder.Config{
-		Address: p.settings.Address, Post: p.messenger.Post, Get: p.messenger.Get, Local: local,
+		Address: p.settings.Address, Post: p.messenger.Post, Get: p.messenger.Get, NotSent: messenger.ErrNotSent, Local: local,
 		Event: func(event, leader string) { _ = p.logger.Log("event", event, "leader", leader) },
 	}, p.settings.SeedAddresses())
 	p.forwarder = f
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -7,7 +7,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"net"
 	"sync"
 	"time"
 
@@ -113,6 +112,8 @@
 	Address string
 	Post    Post
 	Get     Get
+	// NotSent is what errors of Post wrap if nothing was sent.
+	NotSent error
 	// Local decides calls here; nil on instances that never lead.
 	Local Handler
 	// Event is called when the known leader changes or is lost.
@@ -180,7 +181,7 @@
 
 // Do brings a call to the leader and returns its answer. A call that nobody
 // can decide is refused at once as unavailable; one whose outcome is unknown is
-// asked again until ctx ends, and then answered as outcome-unknown.
+// asked again for a short time, and then answered as outcome-unknown.
 func (f *Forwarder) Do(ctx context.Context, call Call) Answer {
 	start := time.Now()
 	unknown := false
@@ -190,13 +191,13 @@
 		if err == nil && answer.Code != CodeNotLeader {
 			return answer
 		}
-		if err != nil && call.Kind.changes() && !neverSent(err) {
+		if err != nil && call.Kind.changes() && !errors.Is(err, f.config.NotSent) {
 			unknown = true
 		}
 		if errors.Is(err, context.DeadlineExceeded) {
 			timeout *= 2
 		}
-		if ctx.Err() != nil || !unknown && time.Since(start) >= f.options.patience {
+		if ctx.Err() != nil || time.Since(start) >= f.patience(unknown) {
 			return f.refuse(unknown)
 		}
 		if tries > 0 {
@@ -205,6 +206,14 @@
 	}
 }
 
+// patience returns how long a call may be tried.
+func (f *Forwarder) patience(unknown bool) time.Duration {
+	if unknown {
+		return f.options.unknownPatience
+	}
+	return f.options.patience
+}
+
 func (f *Forwarder) refuse(unknown bool) Answer {
 	retry := f.options.retryAfter.Milliseconds()
 	if unknown {
@@ -213,12 +222,6 @@
 	return Answer{Code: responder.CodeUnavailable, Reason: "no leader can be reached; nothing was done", RetryAfterMillis: retry}
 }
 
-// neverSent reports whether an error says that the call left no trace.
-func neverSent(err error) bool {
-	var operation *net.OpError
-	return errors.As(err, &operation) && operation.Op == "dial"
-}
-
 func wait(ctx context.Context, pause time.Duration) {
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
--- a/forwarder/options.go
+++ b/forwarder/options.go
@@ -13,6 +13,9 @@
 	// DefaultPatience is how long a call that has not left this instance waits
 	// for a leader.
 	DefaultPatience = 250 * time.Millisecond
+	// DefaultUnknownPatience is how long a call that may have been carried out
+	// is asked again for.
+	DefaultUnknownPatience = 900 * time.Millisecond
 	// DefaultPause lies between two tries.
 	DefaultPause = 30 * time.Millisecond
 	// DefaultRetryAfter is when a refused caller is told to come back.
@@ -24,8 +27,10 @@
 	silence    time.Duration
 	tryTimeout time.Duration
 	patience   time.Duration
-	pause      time.Duration
-	retryAfter time.Duration
+	// unknownPatience is at least patience.
+	unknownPatience time.Duration
+	pause           time.Duration
+	retryAfter      time.Duration
 }
 
 // Option changes how a forwarder works.
@@ -34,7 +39,7 @@
 func newOptions(opts ...Option) options {
 	o := options{
 		interval: DefaultInterval, silence: DefaultSilence, tryTimeout: DefaultTryTimeout,
-		patience: DefaultPatience, pause: DefaultPause, retryAfter: DefaultRetryAfter,
+		patience: DefaultPatience, unknownPatience: DefaultUnknownPatience, pause: DefaultPause, retryAfter: DefaultRetryAfter,
 	}
 	for _, apply := range opts {
 		apply(&o)
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync/atomic"
 	"time"
 
@@ -29,6 +30,10 @@
 // have been handled.
 var ErrUnreachable = eris.New("no answer from peer")
 
+// ErrNotSent reports a message of which nothing left this instance. It was
+// not handled and never will be. Errors that wrap it also wrap ErrUnreachable.
+var ErrNotSent = eris.New("message was not sent")
+
 // StatusError is an answer other than 2xx.
 type StatusError struct {
 	Status int
@@ -111,6 +116,10 @@
 }
 
 func (m *Messenger) do(ctx context.Context, method, url string, body []byte, out any) error {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return fmt.Errorf("build message: %w", err)
@@ -121,6 +130,9 @@
 		request.Header.Set("Content-Type", "application/json")
 	}
 	response, err := m.client.Do(request)
+	if err != nil && !connected.Load() {
+		return fmt.Errorf("%s: %w: %w: %w", url, err, ErrNotSent, ErrUnreachable)
+	}
 	if err != nil {
 		return fmt.Errorf("%s: %w: %w", url, err, ErrUnreachable)
 	}
