While no leader is known, calls are refused without being held

Cause: each call tried the leader by itself, up to 0.6 s of a hanging dial, and a caller of an urgent queue counts a quarter of 250 ms as held back. Ruled out: the election itself; all stores were dark then. Change: the search for a leader is Follow's alone, each 100 ms while none is known; dials to other instances give up after 200 ms.

--- a/cranberryd/node/node.go
+++ b/cranberryd/node/node.go
@@ -26,6 +26,8 @@
 const (
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
+	// peerDialTimeout bounds the dial to another instance.
+	peerDialTimeout = 200 * time.Millisecond
 	// memoryPart is the part of the memory, in percent, that the runtime tries
 	// to stay under.
 	memoryPart = 60
@@ -98,7 +100,7 @@
 	gin.SetMode(gin.ReleaseMode)
 	p := &parts{
 		settings: settings, seams: seams, logger: seams.Logger,
-		messenger: messenger.New("", seams.Dial), recorder: recorder.New(), engine: gin.New(),
+		messenger: messenger.New("", messenger.DialTimeout(seams.Dial, peerDialTimeout)), recorder: recorder.New(), engine: gin.New(),
 		failed: make(chan error, 1),
 	}
 	p.engine.Use(gin.Recovery())
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -234,7 +234,7 @@
 // try asks the presumed leader, or the next instance that may know it.
 func (f *Forwarder) try(ctx context.Context, call Call, timeout time.Duration) (Answer, error) {
 	target := f.target()
-	if target == "" {
+	if target == "" || f.searching() {
 		return Answer{Code: CodeNotLeader}, nil
 	}
 	var answer Answer
@@ -257,6 +257,14 @@
 	return answer, nil
 }
 
+// searching reports whether no leader is known and Follow looks for one, so
+// that calls need not.
+func (f *Forwarder) searching() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.config.Local == nil && f.leader == "" && !f.confirmed.IsZero()
+}
+
 func (f *Forwarder) target() string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -310,15 +318,15 @@
 
 // Follow keeps knowing the leader until ctx ends.
 func (f *Forwarder) Follow(ctx context.Context) {
-	ticker := time.NewTicker(f.options.interval)
-	defer ticker.Stop()
-	for {
+	for ctx.Err() == nil {
 		f.refresh(ctx)
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
+		f.mu.Lock()
+		interval := f.options.interval
+		if f.leader == "" {
+			interval = f.options.search
 		}
+		f.mu.Unlock()
+		wait(ctx, interval)
 	}
 }
 
@@ -344,9 +352,6 @@
 			return
 		}
 		f.redirect(target, status.Leader)
-		if status.Leader == "" {
-			wait(ctx, f.options.pause)
-		}
 	}
 }
 
--- a/forwarder/options.go
+++ b/forwarder/options.go
@@ -12,18 +12,23 @@
 	DefaultTryTimeout = 600 * time.Millisecond
 	// DefaultPatience is how long a call that has not left this instance waits
 	// for a leader.
-	DefaultPatience = 250 * time.Millisecond
+	DefaultPatience = 50 * time.Millisecond
+	// DefaultSearchInterval is the time between two searches while no leader is
+	// known.
+	DefaultSearchInterval = 100 * time.Millisecond
 	// DefaultUnknownPatience is how long a call that may have been carried out
 	// is asked again for.
 	DefaultUnknownPatience = 900 * time.Millisecond
 	// DefaultPause lies between two tries.
-	DefaultPause = 30 * time.Millisecond
+	DefaultPause = 20 * time.Millisecond
 	// DefaultRetryAfter is when a refused caller is told to come back.
 	DefaultRetryAfter = time.Second
 )
 
 type options struct {
-	interval   time.Duration
+	interval time.Duration
+	// search is the interval while no leader is known.
+	search     time.Duration
 	silence    time.Duration
 	tryTimeout time.Duration
 	patience   time.Duration
@@ -38,7 +43,7 @@
 
 func newOptions(opts ...Option) options {
 	o := options{
-		interval: DefaultInterval, silence: DefaultSilence, tryTimeout: DefaultTryTimeout,
+		interval: DefaultInterval, search: DefaultSearchInterval, silence: DefaultSilence, tryTimeout: DefaultTryTimeout,
 		patience: DefaultPatience, unknownPatience: DefaultUnknownPatience, pause: DefaultPause, retryAfter: DefaultRetryAfter,
 	}
 	for _, apply := range opts {
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -56,6 +56,15 @@
 	return body.Reason
 }
 
+// DialTimeout returns a dial that gives up after a time.
+func DialTimeout(dial Dial, timeout time.Duration) Dial {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		return dial(ctx, network, address)
+	}
+}
+
 // Dial opens a connection; it is a seam for tests.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
