Urgent and preemptible work begin at opposite racks

Cause: best fit over all rooms mixed both kinds of work on every worker, so a wide urgent gang found no rack without preempting; and the first rack in which preemption was possible was taken, whatever it lost. Change: the cost of a room counts the rack's place, from one end for work that claims and from the other for the rest, accelerators before the rest; of all racks the one that loses least is preempted.

--- a/scheduler/board.go
+++ b/scheduler/board.go
@@ -11,6 +11,8 @@
 type room struct {
 	worker *Worker
 	rack   string
+	// position is the rack's place among all racks, from 0 to 1.
+	position float64
 	// free may be negative where a unit waits for runs that are being stopped.
 	free Resources
 	// soon is free with the runs that are being stopped.
@@ -54,9 +56,20 @@
 		b.rooms = append(b.rooms, r)
 		b.byWorker[worker.ID] = r
 	}
+	b.setPositions()
 	return b
 }
 
+// setPositions gives each rack its place in the order of their names.
+func (b *board) setPositions() {
+	racks := b.racks()
+	for i, rack := range racks {
+		for _, r := range rack {
+			r.position = float64(i) / float64(max(1, len(racks)-1))
+		}
+	}
+}
+
 func (r *room) hold(s *State, o *Observer, id RunID, run *Run) {
 	step := s.StepOf(id.Task)
 	if step == nil {
@@ -124,7 +137,7 @@
 			b.take(r, u)
 			continue
 		}
-		r, ended := b.preempt(u, u.task(index), b.rooms)
+		r, ended, _ := b.preempt(u, u.task(index), b.rooms)
 		if r == nil {
 			break
 		}
@@ -213,18 +226,29 @@
 	return false
 }
 
-// The costs of a room. What is left over after the task counts up to about 3.
+// The costs of a room. What is left over after the task, weighted by how
+// scarce it is, counts up to 3.
 const (
-	costSuspected = 400
-	costAvoided   = 200
-	costDisturbs  = 100
-	costRemote    = 50
+	costSuspected      = 400
+	costAvoided        = 200
+	costDisturbs       = 100
+	costRemote         = 50
+	costApart          = 4
+	weightAccelerators = 2
+	weightOther        = 0.5
 )
 
+// cost rates a room for a task; lower is better. Work that may claim and work
+// that may be preempted begin at opposite ends of the racks, so that they
+// seldom meet; within a rack the fullest worker that fits is taken.
 func (b *board) cost(u *unit, task TaskID, r *room, left Resources) float64 {
-	cost := fraction(left.CPU, r.worker.Capacity.CPU) +
-		fraction(left.Memory, r.worker.Capacity.Memory) +
-		fraction(left.Accelerators, r.worker.Capacity.Accelerators)
+	cost := weightAccelerators*fraction(left.Accelerators, r.worker.Capacity.Accelerators) +
+		weightOther*(fraction(left.CPU, r.worker.Capacity.CPU)+fraction(left.Memory, r.worker.Capacity.Memory))
+	if u.claims {
+		cost += costApart * (1 - r.position)
+	} else {
+		cost += costApart * r.position
+	}
 	if r.suspected {
 		cost += costSuspected
 	}
@@ -247,8 +271,9 @@
 	return float64(part) / float64(whole)
 }
 
-// preempt finds a room that a task fits into once others are stopped.
-func (b *board) preempt(u *unit, task TaskID, rooms []*room) (*room, []Stop) {
+// preempt finds the room that a task fits into once others are stopped, at the
+// least loss, and returns that loss.
+func (b *board) preempt(u *unit, task TaskID, rooms []*room) (*room, []Stop, float64) {
 	need := u.step.Counted()
 	var best *room
 	var chosen []*Run
@@ -264,14 +289,14 @@
 		}
 	}
 	if best == nil {
-		return nil, nil
+		return nil, nil, 0
 	}
 	var stops []Stop
 	for _, run := range chosen {
 		b.stopping(run)
 		stops = append(stops, Stop{Run: run.ID, Reason: "preempted for " + task.String()})
 	}
-	return best, stops
+	return best, stops, lowest
 }
 
 // evict returns the cheapest runs found whose end makes enough room.
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -27,10 +27,20 @@
 	if !u.step.SameRack {
 		return b.fitInto(u, b.rooms, left)
 	}
+	var best []*room
+	lowest := 0.0
 	for _, rack := range b.racks() {
-		if rooms := b.fitInto(u, rack, left); rooms != nil {
-			return rooms
+		rooms := b.fitInto(u, rack, left)
+		if rooms == nil {
+			continue
 		}
+		cost := b.costOf(u, rooms, left)
+		if best == nil || cost < lowest {
+			best, lowest = rooms, cost
+		}
+	}
+	if best != nil {
+		return best
 	}
 	if b.patienceEnds(u) || !b.rackHolds(u) {
 		return b.fitInto(u, b.rooms, left)
@@ -38,6 +48,15 @@
 	return nil
 }
 
+// costOf rates the rooms chosen for a gang.
+func (b *board) costOf(u *unit, rooms []*room, left func(*room) Resources) float64 {
+	cost := 0.0
+	for i, r := range rooms {
+		cost += b.cost(u, u.task(u.tasks[i]), r, left(r).Minus(u.step.Counted()))
+	}
+	return cost
+}
+
 // rackHolds reports whether any rack could hold the gang if it were empty.
 func (b *board) rackHolds(u *unit) bool {
 	for _, rack := range b.racks() {
@@ -72,47 +91,69 @@
 	return append([]*room(nil), chosen...)
 }
 
-// preemptGang stops what is in the way of a gang, preferably in one rack. It
-// stops nothing unless the whole gang then fits.
+// preemptGang stops what is in the way of a gang, in the rack where that loses
+// least if it is to be one. It stops nothing unless the whole gang then fits.
 func (b *board) preemptGang(u *unit) []Stop {
-	if u.step.SameRack {
-		for _, rack := range b.racks() {
-			if stops, fits := b.preemptIn(u, rack); fits {
-				return stops
-			}
+	if !u.step.SameRack {
+		return b.preemptIn(u, b.rooms).stops
+	}
+	var best []*room
+	lowest := 0.0
+	for _, rack := range b.racks() {
+		made := b.preemptIn(u, rack)
+		if !made.fits {
+			continue
+		}
+		b.undo(u, made)
+		if best == nil || made.loss < lowest {
+			best, lowest = rack, made.loss
 		}
 	}
-	stops, _ := b.preemptIn(u, b.rooms)
-	return stops
+	if best == nil {
+		best = b.rooms
+	}
+	return b.preemptIn(u, best).stops
+}
+
+// preemption is what it takes to make room for a gang.
+type preemption struct {
+	fits  bool
+	stops []Stop
+	taken []*room
+	loss  float64
 }
 
-func (b *board) preemptIn(u *unit, rooms []*room) ([]Stop, bool) {
-	var stops []Stop
-	var taken []*room
+// preemptIn books room for a gang and orders what is in the way to stop. If
+// the gang does not fit, nothing is booked.
+func (b *board) preemptIn(u *unit, rooms []*room) preemption {
+	var made preemption
 	for _, index := range u.tasks {
 		task := u.task(index)
 		r := b.best(u, task, rooms, soonRoom)
 		if r == nil {
 			var ended []Stop
-			r, ended = b.preempt(u, task, rooms)
-			stops = append(stops, ended...)
+			var loss float64
+			r, ended, loss = b.preempt(u, task, rooms)
+			made.stops = append(made.stops, ended...)
+			made.loss += loss
 		}
 		if r == nil {
-			b.undo(u, taken, stops)
-			return nil, false
+			b.undo(u, made)
+			return preemption{}
 		}
 		b.take(r, u)
-		taken = append(taken, r)
+		made.taken = append(made.taken, r)
 	}
-	return stops, true
+	made.fits = true
+	return made
 }
 
 // undo takes back what preemptIn has booked and chosen to stop.
-func (b *board) undo(u *unit, taken []*room, stops []Stop) {
-	for _, r := range taken {
+func (b *board) undo(u *unit, made preemption) {
+	for _, r := range made.taken {
 		b.untake(r, u)
 	}
-	for _, stop := range stops {
+	for _, stop := range made.stops {
 		run := b.state.runs[stop.Run]
 		delete(b.stopped, stop.Run)
 		if r, known := b.byWorker[run.Worker]; known {
