--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"cranberrystack.dev/cranberrystack/identifier"
@@ -30,16 +31,30 @@
 			return
 		}
 		look.Sent, look.Acked = sent, order.Acked
-		if err != nil || look.Born != 0 && look.Born != born {
+		c.verify(id, look.Born, err)
+		if errors.Is(err, ErrOtherLife) {
+			continue
+		}
+		if err != nil || look.Born != born {
 			c.missed(lead, id, born, err)
 			pause(lead.ctx, lookPause)
 			continue
 		}
-		look.Born = born
 		c.noteLook(lead, id, &look)
 	}
 }
 
+// verify notes which life of a worker the connection for looks leads to.
+func (c *Coordinator) verify(id identifier.WorkerID, born scheduler.UnixMilli, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil {
+		delete(c.verified, id)
+		return
+	}
+	c.verified[id] = born
+}
+
 func pause(ctx context.Context, span time.Duration) {
 	timer := time.NewTimer(span)
 	defer timer.Stop()
@@ -58,17 +73,24 @@
 		delete(lead.agents, id)
 		return Destination{}, 0, LookOrder{}, false
 	}
-	watch := lead.observer.Watch(id, worker.Born)
+	watch := lead.observer.Watch(id, worker.Born, time.Now())
 	if len(c.state.Placed(id)) == 0 && watch.Clocked() && watch.AckSent >= worker.Acked {
 		delete(lead.agents, id)
 		return Destination{}, 0, LookOrder{}, false
 	}
 	now := time.Now()
-	order := LookOrder{Fence: lead.fence, Acked: worker.Acked}
+	order := LookOrder{Fence: lead.fence}
+	verified := c.verified[id] == worker.Born
+	if verified {
+		order.Acked, order.SameLife = worker.Acked, worker.Acked > 0
+	}
 	if watch.Clocked() && len(c.state.Placed(id)) > 0 {
 		order.Deadline = watch.Prolong(c.options.maxLease-leaseReserve, now)
 		order.WaitMillis = c.lookWait(watch, id).Milliseconds()
 	}
+	if !verified {
+		order.WaitMillis = 0
+	}
 	return Destination{Worker: id, Address: worker.Address}, worker.Born, order, true
 }
 
@@ -105,7 +127,7 @@
 func (c *Coordinator) missed(lead *leadership, id identifier.WorkerID, born scheduler.UnixMilli, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	watch := lead.observer.Watch(id, born)
+	watch := lead.observer.Watch(id, born, time.Now())
 	watch.Misses++
 	if watch.Misses == 1 {
 		c.event("worker-silent", "worker", id, "born", int64(born), "heard-ms-ago", time.Since(watch.Heard).Milliseconds(), "error", err)
@@ -121,7 +143,7 @@
 		return
 	}
 	now := time.Now()
-	watch := lead.observer.Watch(id, look.Born)
+	watch := lead.observer.Watch(id, look.Born, now)
 	if watch.Misses > 0 {
 		c.event("worker-back", "worker", id, "misses", watch.Misses)
 	}
@@ -195,7 +217,7 @@
 		case scheduler.EndFailed:
 			lead.observer.Failed(run, now)
 		case scheduler.EndDone:
-			lead.observer.Succeeded(run)
+			lead.observer.Succeeded(run, now)
 		}
 	}
 	return note
--- /dev/null
+++ b/coordinator/cluster_test.go
@@ -0,0 +1,467 @@
+package coordinator_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"cranberrystack.dev/cranberrystack/coordinator"
+	"cranberrystack.dev/cranberrystack/faker"
+	"cranberrystack.dev/cranberrystack/forwarder"
+	"cranberrystack.dev/cranberrystack/identifier"
+	"cranberrystack.dev/cranberrystack/journaler"
+	"cranberrystack.dev/cranberrystack/recorder"
+	"cranberrystack.dev/cranberrystack/replicator"
+	"cranberrystack.dev/cranberrystack/scheduler"
+)
+
+var errCut = errors.New("cut off")
+
+const (
+	linkDelay   = time.Millisecond
+	reportEvery = 1500 * time.Millisecond
+	teamKey     = "key-of-team-a"
+	otherKey    = "key-of-team-b"
+)
+
+// cluster is some instances that hold the log, and workers, in one process and
+// in virtual time.
+type cluster struct {
+	t     *testing.T
+	world *faker.TaskWorld
+	hosts []*host
+	seeds []string
+	stop  context.CancelFunc
+
+	mu      sync.Mutex
+	down    map[string]bool
+	cut     map[[2]string]bool
+	workers map[identifier.WorkerID]*workerState
+	logs    bytes.Buffer
+	rounds  int
+	began   time.Time
+}
+
+type workerState struct {
+	worker *faker.TaskWorker
+	state  scheduler.WorkerState
+}
+
+type host struct {
+	cluster     *cluster
+	name        string
+	dir         string
+	coordinator *coordinator.Coordinator
+	forwarder   *forwarder.Forwarder
+	starts      int
+}
+
+func newCluster(t *testing.T, seed uint64, size int) *cluster {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &cluster{
+		t: t, began: time.Now(), world: faker.NewTaskWorld(seed), stop: cancel,
+		down: map[string]bool{}, cut: map[[2]string]bool{}, workers: map[identifier.WorkerID]*workerState{},
+	}
+	for i := range size {
+		name := fmt.Sprintf("core-%d", i)
+		c.hosts = append(c.hosts, &host{cluster: c, name: name, dir: filepath.Join(t.TempDir(), name)})
+		if i < 3 {
+			c.seeds = append(c.seeds, name)
+		}
+	}
+	for _, h := range c.hosts {
+		h.start(true)
+	}
+	go c.reportAll(ctx)
+	return c
+}
+
+// close stops everything; the bubble must hold no goroutine afterwards.
+func (c *cluster) close() {
+	c.stop()
+	for _, h := range c.hosts {
+		h.stop()
+	}
+	synctest.Wait()
+}
+
+func (h *host) start(bootstrap bool) {
+	c := h.cluster
+	c.mu.Lock()
+	c.down[h.name] = false
+	h.starts++
+	c.mu.Unlock()
+	files := journaler.DefaultFiles()
+	files.Sync = func(*os.File) error { return nil }
+	opened, err := coordinator.Open(coordinator.Config{
+		ID: identifier.InstanceID(h.name), Dir: h.dir, Address: h.name, ReportTo: h.name,
+		Seeds: c.seeds, Bootstrap: bootstrap, Voters: 3,
+		Transport: replicator.Transport{Send: h.send, Formation: h.formation},
+		Announce:  h.announce, Orders: c.world.Orders(h.name),
+		Recorder: recorder.New(), Logger: log.With(log.NewLogfmtLogger(log.NewSyncWriter(&lockedWriter{c: c})), "at", log.Valuer(func() any { return time.Since(c.began).Milliseconds() }), "host", h.name),
+	}, coordinator.Log(
+		replicator.HeartbeatInterval(120*time.Millisecond), replicator.ElectionTimeout(700*time.Millisecond),
+		replicator.CompactEntries(60), replicator.JournalOptions(journaler.WithFiles(files)),
+		replicator.Seed(uint64(len(h.name)+h.starts)*7919+uint64(h.name[len(h.name)-1])),
+	))
+	if err != nil {
+		c.t.Fatalf("open %s: %v", h.name, err)
+	}
+	h.coordinator = opened
+	h.forwarder = forwarder.New(forwarder.Config{
+		Address: h.name, Post: h.post, Get: h.get, NotSent: errCut, Local: opened.Handle,
+	}, c.seeds)
+}
+
+type lockedWriter struct{ c *cluster }
+
+func (w *lockedWriter) Write(data []byte) (int, error) {
+	w.c.mu.Lock()
+	defer w.c.mu.Unlock()
+	return w.c.logs.Write(data)
+}
+
+// crash ends an instance without a word to the others. Its disk stays.
+func (h *host) crash() {
+	h.cluster.mu.Lock()
+	h.cluster.down[h.name] = true
+	h.cluster.mu.Unlock()
+	h.stop()
+}
+
+func (h *host) stop() {
+	if h.coordinator != nil {
+		h.coordinator.Stop()
+		h.coordinator = nil
+		h.cluster.world.Disconnect(h.name)
+	}
+}
+
+func (h *host) wipe() {
+	if err := os.RemoveAll(h.dir); err != nil {
+		h.cluster.t.Fatal(err)
+	}
+}
+
+// reach returns the instance at an address, once the link has been crossed.
+func (h *host) reach(ctx context.Context, address string) (*coordinator.Coordinator, error) {
+	time.Sleep(linkDelay)
+	c := h.cluster
+	c.mu.Lock()
+	blocked := c.down[address] || c.down[h.name] || c.cut[[2]string{h.name, address}]
+	c.mu.Unlock()
+	for _, other := range c.hosts {
+		if other.name == address && !blocked && other.coordinator != nil {
+			return other.coordinator, nil
+		}
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(200 * time.Millisecond):
+	}
+	return nil, errCut
+}
+
+func (h *host) send(ctx context.Context, peer replicator.Peer, message replicator.Message) ([]replicator.Message, error) {
+	target, err := h.reach(ctx, peer.Address)
+	if err != nil {
+		return nil, err
+	}
+	return target.Node().Handle(ctx, message)
+}
+
+func (h *host) formation(ctx context.Context, peer replicator.Peer) (replicator.Formation, error) {
+	target, err := h.reach(ctx, peer.Address)
+	if err != nil {
+		return replicator.Formation{}, err
+	}
+	return target.Node().Formation(), nil
+}
+
+func (h *host) announce(ctx context.Context, address string, peer replicator.Peer) error {
+	target, err := h.reach(ctx, address)
+	if err != nil {
+		return err
+	}
+	target.HandleAnnouncement(peer)
+	return nil
+}
+
+func (h *host) post(ctx context.Context, address, _ string, in, out any) error {
+	target, err := h.reach(ctx, address)
+	if err != nil {
+		return err
+	}
+	*out.(*forwarder.Answer) = target.Handle(ctx, in.(forwarder.Call))
+	return nil
+}
+
+func (h *host) get(ctx context.Context, address, _ string, out any) error {
+	target, err := h.reach(ctx, address)
+	if err != nil {
+		return err
+	}
+	*out.(*forwarder.Status) = target.Status()
+	return nil
+}
+
+// isolate cuts instances off from all others, or joins them again.
+func (c *cluster) isolate(cut bool, names ...string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, name := range names {
+		for _, other := range c.hosts {
+			if other.name != name {
+				c.cut[[2]string{name, other.name}] = cut
+				c.cut[[2]string{other.name, name}] = cut
+			}
+		}
+	}
+}
+
+func (c *cluster) addWorker(id identifier.WorkerID, capacity scheduler.Resources, rack string) *faker.TaskWorker {
+	worker := c.world.Worker(id, capacity, "a", rack)
+	c.mu.Lock()
+	c.workers[id] = &workerState{worker: worker, state: scheduler.WorkerReady}
+	c.mu.Unlock()
+	return worker
+}
+
+// addWorkers adds equal workers, four to a rack.
+func (c *cluster) addWorkers(count int) []identifier.WorkerID {
+	var ids []identifier.WorkerID
+	for i := range count {
+		id := identifier.WorkerID(fmt.Sprintf("w-%02d", i))
+		c.addWorker(id, scheduler.Resources{CPU: 64000, Memory: 128000, Accelerators: 8}, fmt.Sprintf("r1-%d", i/4))
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+type reportBody struct {
+	Pool       string              `json:"worker-pool"`
+	Address    string              `json:"address"`
+	DataCenter string              `json:"data-center"`
+	State      string              `json:"state"`
+	Sequence   int64               `json:"sequence"`
+	Born       int64               `json:"born"`
+	Clock      int64               `json:"clock-ms"`
+	Remaining  int64               `json:"remaining-ms,omitempty"`
+	Labels     []string            `json:"labels"`
+	Capacity   scheduler.Resources `json:"capacity"`
+}
+
+// reportAll sends each worker's reports to one instance after the other.
+func (c *cluster) reportAll(ctx context.Context) {
+	ticker := time.NewTicker(reportEvery)
+	defer ticker.Stop()
+	for {
+		c.mu.Lock()
+		for id, state := range c.workers {
+			go c.report(ctx, id, state.worker, state.state)
+		}
+		c.mu.Unlock()
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *cluster) report(ctx context.Context, id identifier.WorkerID, worker *faker.TaskWorker, state scheduler.WorkerState) {
+	sequence, clock := worker.Report(state)
+	data, err := json.Marshal(reportBody{
+		Pool: "pool", Address: string(id), DataCenter: "dc", State: string(state), Sequence: sequence,
+		Born: int64(worker.Born), Clock: int64(clock), Remaining: 10000, Labels: worker.Labels, Capacity: worker.Capacity,
+	})
+	if err != nil {
+		c.t.Error(err)
+		return
+	}
+	c.call(ctx, forwarder.Call{Kind: forwarder.KindReport, Worker: id, Document: data})
+}
+
+// call asks the instances in turn until one gives an answer other than that
+// nobody can decide.
+func (c *cluster) call(ctx context.Context, call forwarder.Call) forwarder.Answer {
+	var answer forwarder.Answer
+	for range c.hosts {
+		c.mu.Lock()
+		c.rounds++
+		h := c.hosts[c.rounds%len(c.hosts)]
+		usable := h.coordinator != nil && !c.down[h.name]
+		c.mu.Unlock()
+		if !usable {
+			continue
+		}
+		tryCtx, cancel := context.WithTimeout(ctx, 3*time.Second)
+		answer = h.forwarder.Do(tryCtx, call)
+		cancel()
+		if answer.Code != "unavailable" && answer.Code != "" {
+			return answer
+		}
+	}
+	return answer
+}
+
+// until asks again until the answer is OK.
+func (c *cluster) until(call forwarder.Call, limit time.Duration) forwarder.Answer {
+	c.t.Helper()
+	start := time.Now()
+	for {
+		answer := c.call(context.Background(), call)
+		if answer.OK() {
+			return answer
+		}
+		if time.Since(start) > limit {
+			c.t.Fatalf("%s %s: %s %s after %v", call.Kind, call.Path, answer.Code, answer.Reason, limit)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+const catalogText = `{"version":%d,"queues":[
+{"name":"urgent","host":"h","path-prefix":"/urgent/","worker-pool":"pool","priority":0,"max-attempts":%d,"stretch":1.5,"objective-ms":300,"timeout-ms":3000},
+{"name":"long","host":"h","path-prefix":"/long/","worker-pool":"pool","priority":2,"max-attempts":%d,"stretch":3,"objective-ms":1000,"timeout-ms":3000}],
+"pools":[{"name":"pool","guards-capacity":true}],
+"teams":[{"name":"a","keys":["key-of-team-a"],"guarantee":{"accelerators":16}},{"name":"b","keys":["key-of-team-b"],"guarantee":{"accelerators":8}}]}`
+
+func (c *cluster) configure(version, attempts int) {
+	c.t.Helper()
+	document := fmt.Sprintf(catalogText, version, attempts, attempts)
+	c.until(forwarder.Call{Kind: forwarder.KindConfigure, Document: json.RawMessage(document)}, 10*time.Second)
+}
+
+func jobID(number int) identifier.JobID { return identifier.JobID(fmt.Sprintf("%016x", number)) }
+
+func (c *cluster) submitCall(queue string, id identifier.JobID, request scheduler.Request) forwarder.Call {
+	c.world.Describe(id, &request)
+	data, err := json.Marshal(request)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return forwarder.Call{Kind: forwarder.KindSubmit, Host: "h", Path: "/" + queue + "/" + string(id), Key: teamKey, Document: data}
+}
+
+func (c *cluster) submit(queue string, id identifier.JobID, request scheduler.Request) {
+	c.t.Helper()
+	c.until(c.submitCall(queue, id, request), 10*time.Second)
+}
+
+func (c *cluster) state(queue string, id identifier.JobID) string {
+	answer := c.call(context.Background(), forwarder.Call{Kind: forwarder.KindState, Host: "h", Path: "/" + queue + "/" + string(id), Key: teamKey})
+	if !answer.OK() {
+		return string(answer.Code)
+	}
+	var body struct {
+		State string `json:"state"`
+	}
+	if err := json.Unmarshal(answer.Document, &body); err != nil {
+		c.t.Fatal(err)
+	}
+	return body.State
+}
+
+func (c *cluster) waitFor(queue string, id identifier.JobID, wanted string, limit time.Duration) {
+	c.t.Helper()
+	start := time.Now()
+	state := ""
+	for time.Since(start) <= limit {
+		if state = c.state(queue, id); state == wanted {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	c.t.Fatalf("job %s is %s after %v, not %s", id, state, limit, wanted)
+}
+
+// leader returns the instance that leads, nil if none does.
+func (c *cluster) leader() *host {
+	for _, h := range c.hosts {
+		if h.coordinator != nil && h.coordinator.Status().Rules {
+			return h
+		}
+	}
+	return nil
+}
+
+func (c *cluster) waitForLeader(limit time.Duration) *host {
+	c.t.Helper()
+	for start := time.Now(); time.Since(start) <= limit; time.Sleep(50 * time.Millisecond) {
+		if h := c.leader(); h != nil {
+			return h
+		}
+	}
+	c.t.Fatalf("no leader after %v", limit)
+	return nil
+}
+
+// checkHistory judges the history of all runs from the outside: no two runs
+// of a task at once on workers that are up, and no start after a run has ended
+// as done, if that end was noted then or later.
+func (c *cluster) checkHistory() {
+	c.t.Helper()
+	live := map[scheduler.TaskID]scheduler.RunID{}
+	done := map[scheduler.TaskID]scheduler.RunID{}
+	for _, event := range c.world.History() {
+		task := event.Run.Task
+		if event.How == "" {
+			if other, runs := live[task]; runs {
+				c.t.Errorf("%s started on %s while %s ran", event.Run, event.Worker, other)
+			}
+			if other, ended := done[task]; ended {
+				c.t.Errorf("%s started on %s after %s was done", event.Run, event.Worker, other)
+			}
+			live[task] = event.Run
+			continue
+		}
+		if live[task] == event.Run {
+			delete(live, task)
+		}
+		if event.How == scheduler.EndDone && event.Noted {
+			done[task] = event.Run
+		}
+	}
+}
+
+// inCluster runs a test in virtual time.
+func inCluster(t *testing.T, seed uint64, size, workers int, test func(c *cluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, seed, size)
+		defer c.close()
+		c.addWorkers(workers)
+		c.configure(1, 3)
+		time.Sleep(2 * reportEvery)
+		test(c)
+		c.checkHistory()
+		if t.Failed() {
+			for _, event := range c.world.History() {
+				fmt.Fprintf(&c.logs, "at=%d seen run=%s worker=%s how=%q noted=%t fence=%d\n", event.At.Sub(c.began).Milliseconds(),
+					event.Run, event.Worker, event.How, event.Noted, event.Fence)
+			}
+			path := filepath.Join(os.TempDir(), fmt.Sprintf("cranberrystack-%d.log", seed))
+			_ = os.WriteFile(path, c.logs.Bytes(), 0o600)
+			t.Logf("log of events in %s", path)
+		}
+	})
+}
+
+func step(width int, millis int64, accelerators int64) scheduler.Step {
+	return scheduler.Step{
+		Width: width, EstimateMillis: millis,
+		Resources: scheduler.Resources{CPU: 2000, Memory: 1000, Accelerators: accelerators},
+	}
+}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -57,6 +57,9 @@
 	queue   []*proposal
 	lead    *leadership
 	members []replicator.Announcement
+	// verified holds the life that each worker's last look was answered by, on
+	// a connection that still exists.
+	verified map[identifier.WorkerID]scheduler.UnixMilli
 	// announced is when this instance last asked to be taken in.
 	announced time.Time
 	// changing says that a change of the membership is under way.
@@ -88,7 +91,8 @@
 func Open(config Config, opts ...Option) (*Coordinator, error) {
 	c := &Coordinator{
 		config: config, options: newOptions(opts...), state: scheduler.NewState(),
-		wake: make(chan struct{}, 1), proposing: make(chan struct{}, 1),
+		verified: map[identifier.WorkerID]scheduler.UnixMilli{},
+		wake:     make(chan struct{}, 1), proposing: make(chan struct{}, 1),
 	}
 	machine := replicator.StateMachine{Apply: c.apply, Snapshot: c.snapshot, Restore: c.restore}
 	seeds := replicator.Seeds{Address: config.Address, Addresses: config.Seeds, Bootstrap: config.Bootstrap}
@@ -232,7 +236,7 @@
 		"jobs", statistics.Active, "runs", statistics.Runs, "workers", statistics.Workers)
 	for _, worker := range c.state.Workers() {
 		if worker.State != scheduler.WorkerGone || len(c.state.Placed(worker.ID)) > 0 {
-			c.lead.observer.Watch(worker.ID, worker.Born)
+			c.lead.observer.Watch(worker.ID, worker.Born, now)
 			c.attend(worker.ID)
 		}
 	}
--- a/coordinator/orders.go
+++ b/coordinator/orders.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/rotisserie/eris"
+
 	"cranberrystack.dev/cranberrystack/identifier"
 	"cranberrystack.dev/cranberrystack/scheduler"
 )
@@ -13,6 +15,10 @@
 	Address string
 }
 
+// ErrOtherLife reports an order that could not be sent to the life of the
+// worker that answered last. Nothing was sent.
+var ErrOtherLife = eris.New("the worker's life can't be reached any more")
+
 // Refusal says why a worker did not start a run.
 type Refusal string
 
@@ -64,6 +70,10 @@
 	Deadline scheduler.WorkerMilli
 	// WaitMillis is how long the answer may wait for an end.
 	WaitMillis int64
+	// SameLife says that the order may reach no other life of the worker than
+	// the one that answered this caller last. An order that acknowledges ends
+	// needs it, since a new life numbers its ends anew.
+	SameLife bool
 }
 
 // Orders are the calls to workers. An error means that there was no answer;
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -17,7 +17,7 @@
 	if lead.assigning || !c.node.Rules() {
 		return
 	}
-	lead.observer.Forget(c.state)
+	lead.observer.Forget(c.state, now)
 	plan := lead.planner.Plan(c.state, lead.observer, now, wall())
 	for _, stop := range plan.Stop {
 		c.orderStop(stop.Run, stop.Reason, now)
--- /dev/null
+++ b/coordinator/scenario_test.go
@@ -0,0 +1,338 @@
+package coordinator_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"cranberrystack.dev/cranberrystack/faker"
+	"cranberrystack.dev/cranberrystack/forwarder"
+	"cranberrystack.dev/cranberrystack/identifier"
+	"cranberrystack.dev/cranberrystack/scheduler"
+)
+
+func TestJobOfTwoStepsIsCompleted(t *testing.T) {
+	inCluster(t, 1, 4, 4, func(c *cluster) {
+		second := step(5, 800, 1)
+		second.DependsOn = []int{0}
+		c.submit("long", jobID(1), scheduler.Request{Spec: "s", Steps: []scheduler.Step{step(3, 500, 1), second}})
+		c.waitFor("long", jobID(1), "completed", 5*time.Second)
+		ends := map[int]time.Time{}
+		for _, event := range c.world.History() {
+			if event.How == "" && event.Run.Task.Step == 1 && event.At.Before(ends[0]) {
+				t.Errorf("%s started before step 0 was done", event.Run)
+			}
+			if event.How != "" {
+				ends[event.Run.Task.Step] = event.At
+			}
+		}
+	})
+}
+
+func TestResentJobIsOneJob(t *testing.T) {
+	inCluster(t, 2, 4, 4, func(c *cluster) {
+		request := scheduler.Request{Spec: "s", Steps: []scheduler.Step{step(1, 300, 1)}}
+		for range 3 {
+			c.submit("urgent", jobID(1), request)
+		}
+		c.waitFor("urgent", jobID(1), "completed", 3*time.Second)
+		c.submit("urgent", jobID(1), request)
+		time.Sleep(2 * time.Second)
+		if count := len(c.world.History()); count != 2 {
+			t.Errorf("%d events of one task, want a start and an end", count)
+		}
+	})
+}
+
+func TestCancelledJobStopsEverywhere(t *testing.T) {
+	inCluster(t, 3, 4, 4, func(c *cluster) {
+		c.submit("long", jobID(1), scheduler.Request{Spec: "s", Steps: []scheduler.Step{step(6, 60000, 1)}})
+		time.Sleep(time.Second)
+		c.until(forwarder.Call{Kind: forwarder.KindCancel, Host: "h", Path: "/long/" + string(jobID(1)), Key: teamKey}, time.Second)
+		time.Sleep(time.Second)
+		stopped := 0
+		for _, event := range c.world.History() {
+			if event.How == scheduler.EndStopped {
+				stopped++
+			}
+		}
+		if state := c.state("long", jobID(1)); stopped != 6 || state != "cancelled" {
+			t.Errorf("%d of 6 tasks stopped, job is %s", stopped, state)
+		}
+	})
+}
+
+func TestGuaranteeIsReclaimed(t *testing.T) {
+	inCluster(t, 4, 4, 4, func(c *cluster) {
+		c.submit("long", jobID(1), scheduler.Request{Spec: "s", Steps: []scheduler.Step{step(32, 60000, 1)}})
+		time.Sleep(time.Second)
+		gang := step(2, 500, 8)
+		gang.Gang, gang.SameRack = true, true
+		start := time.Now()
+		c.submit("urgent", jobID(2), scheduler.Request{Spec: "s", Steps: []scheduler.Step{gang}})
+		c.waitFor("urgent", jobID(2), "completed", 3*time.Second)
+		t.Logf("completed after %v", time.Since(start))
+		c.waitFor("long", jobID(1), "running", time.Second)
+	})
+}
+
+func TestLeaderKilledAsGangStarts(t *testing.T) {
+	for seed := uint64(10); seed < 18; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			inCluster(t, seed, 4, 8, func(c *cluster) {
+				leader := c.waitForLeader(3 * time.Second)
+				gang := step(4, 1500, 8)
+				gang.Gang = true
+				c.submit("urgent", jobID(1), scheduler.Request{Spec: "s", Steps: []scheduler.Step{gang}})
+				time.Sleep(time.Duration(seed-10) * 2 * time.Millisecond)
+				leader.crash()
+				c.waitFor("urgent", jobID(1), "completed", 20*time.Second)
+				leader.start(false)
+				time.Sleep(3 * time.Second)
+			})
+		})
+	}
+}
+
+// A worker that is cut off runs on until its lease ends. Its task starts
+// elsewhere only then, and comes back as lapsed.
+func TestTaskMovesOnlyAfterItsLease(t *testing.T) {
+	inCluster(t, 20, 4, 2, func(c *cluster) {
+		c.submit("long", jobID(1), scheduler.Request{Spec: "s", Steps: []scheduler.Step{step(1, 9000, 8)}})
+		time.Sleep(time.Second)
+		first := c.world.History()[0].Worker
+		for _, h := range c.hosts {
+			c.world.Cut(h.name, []identifier.WorkerID{first}, true)
+		}
+		time.Sleep(10 * time.Second)
+		for _, h := range c.hosts {
+			c.world.Cut(h.name, []identifier.WorkerID{first}, false)
+		}
+		c.waitFor("long", jobID(1), "completed", 20*time.Second)
+		var starts, lapsed int
+		for _, event := range c.world.History() {
+			if event.How == "" {
+				starts++
+			}
+			if event.How == scheduler.EndLapsed {
+				lapsed++
+			}
+		}
+		if starts != 2 || lapsed != 1 {
+			t.Errorf("%d starts and %d lapsed leases, want 2 and 1", starts, lapsed)
+		}
+	})
+}
+
+// All stores lose power right after a job was taken: it is still known.
+func TestAllStoresDarkAfterAJobWasTaken(t *testing.T) {
+	inCluster(t, 21, 4, 4, func(c *cluster) {
+		c.submit("long", jobID(1), scheduler.Request{Spec: "s", Steps: []scheduler.Step{step(2, 500, 1)}})
+		for _, h := range c.hosts {
+			h.crash()
+		}
+		time.Sleep(5 * time.Second)
+		for _, h := range c.hosts {
+			h.start(false)
+		}
+		c.waitFor("long", jobID(1), "completed", 20*time.Second)
+	})
+}
+
+// While nobody can decide, a call is refused at once and told when to come
+// back, and a job that was refused never runs.
+func TestRefusedAtOnceWithoutQuorum(t *testing.T) {
+	inCluster(t, 22, 4, 4, func(c *cluster) {
+		for _, h := range c.hosts[1:] {
+			h.crash()
+		}
+		time.Sleep(3 * time.Second)
+		start := time.Now()
+		answer := c.hosts[0].forwarder.Do(context.Background(), c.submitCall("urgent", jobID(1), scheduler.Request{Steps: []scheduler.Step{step(1, 100, 1)}}))
+		if took := time.Since(start); answer.Code != "unavailable" || answer.RetryAfterMillis == 0 || took > 200*time.Millisecond {
+			t.Errorf("answer %+v after %v", answer, took)
+		}
+		for _, h := range c.hosts[1:] {
+			h.start(false)
+		}
+		c.waitForLeader(10 * time.Second)
+		time.Sleep(5 * time.Second)
+		if state := c.state("urgent", jobID(1)); state != "no-such-job" || len(c.world.History()) > 0 {
+			t.Errorf("refused job is %s, %d events", state, len(c.world.History()))
+		}
+	})
+}
+
+// A store that loses its disk is another instance: it votes for nothing until
+// it has caught up, and takes the lost one's place.
+func TestWipedStoreIsReplaced(t *testing.T) {
+	inCluster(t, 23, 4, 4, func(c *cluster) {
+		leader := c.waitForLeader(3 * time.Second)
+		c.submit("long", jobID(1), scheduler.Request{Spec: "s", Steps: []scheduler.Step{step(2, 8000, 1)}})
+		leader.crash()
+		leader.wipe()
+		time.Sleep(time.Second)
+		leader.start(false)
+		time.Sleep(6 * time.Second)
+		second := c.waitForLeader(3 * time.Second)
+		members := second.coordinator.Node().Leadership().Membership
+		if len(members.Voters) != 3 || len(members.Learners) != 1 {
+			t.Errorf("%d voters and %d learners, want 3 and 1", len(members.Voters), len(members.Learners))
+		}
+		second.crash()
+		c.waitForLeader(5 * time.Second)
+		c.waitFor("long", jobID(1), "completed", 30*time.Second)
+	})
+}
+
+// A minority misses changes, one of the majority loses its disk and the rest
+// are dark: the stale one and the empty one decide nothing.
+func TestStaleAndEmptyStoreDecideNothing(t *testing.T) {
+	inCluster(t, 24, 3, 2, func(c *cluster) {
+		leader := c.waitForLeader(3 * time.Second)
+		var stale, other *host
+		for _, h := range c.hosts {
+			switch {
+			case h == leader:
+			case stale == nil:
+				stale = h
+			default:
+				other = h
+			}
+		}
+		c.isolate(true, stale.name)
+		c.configure(2, 3)
+		leader.crash()
+		other.crash()
+		other.wipe()
+		other.start(false)
+		c.isolate(false, stale.name)
+		time.Sleep(5 * time.Second)
+		read := forwarder.Call{Kind: forwarder.KindReadCatalog}
+		if answer := stale.forwarder.Do(context.Background(), read); answer.OK() {
+			t.Errorf("the stale store answers %s", answer.Document)
+		}
+		leader.start(false)
+		answer := c.until(read, 10*time.Second)
+		var catalog scheduler.Catalog
+		if err := json.Unmarshal(answer.Document, &catalog); err != nil || catalog.Version != 2 {
+			t.Errorf("version %d, want 2 (%v)", catalog.Version, err)
+		}
+	})
+}
+
+// A leader that is cut off answers no read of the catalog, and what was
+// acknowledged meanwhile is what it answers after.
+func TestCutOffLeaderAnswersNoOldCatalog(t *testing.T) {
+	inCluster(t, 25, 4, 2, func(c *cluster) {
+		old := c.waitForLeader(3 * time.Second)
+		c.isolate(true, old.name)
+		time.Sleep(100 * time.Millisecond)
+		read := forwarder.Call{Kind: forwarder.KindReadCatalog}
+		if answer := old.coordinator.Handle(context.Background(), read); answer.OK() {
+			t.Error("a leader without a quorum answers a read")
+		}
+		time.Sleep(3 * time.Second)
+		c.configure(2, 3)
+		c.isolate(false, old.name)
+		time.Sleep(time.Second)
+		answer := c.until(read, 5*time.Second)
+		if !strings.Contains(string(answer.Document), `"version":2`) {
+			t.Errorf("catalog %s", answer.Document)
+		}
+	})
+}
+
+// Two operators race: the highest version takes effect, a lower one and a
+// resent one are acknowledged and change nothing, an invalid one is refused.
+func TestHighestVersionTakesEffect(t *testing.T) {
+	inCluster(t, 26, 4, 2, func(c *cluster) {
+		done := make(chan struct{})
+		go func() {
+			c.configure(7, 3)
+			close(done)
+		}()
+		c.configure(5, 2)
+		<-done
+		c.configure(7, 9)
+		bad := []string{`{"version":9`, `{"version":9,"queues":[],"pools":[]} {}`, `{"queues":[],"pools":[]}`,
+			`{"version":9,"queues":[{"name":"q","host":"h","path-prefix":"/q/","worker-pool":"none","timeout-ms":1}],"pools":[]}`}
+		for _, document := range bad {
+			answer := c.call(context.Background(), forwarder.Call{Kind: forwarder.KindConfigure, Document: json.RawMessage(document)})
+			if answer.Code != "invalid" {
+				t.Errorf("%s: %s", document, answer.Code)
+			}
+		}
+		answer := c.until(forwarder.Call{Kind: forwarder.KindReadCatalog}, time.Second)
+		var catalog scheduler.Catalog
+		if err := json.Unmarshal(answer.Document, &catalog); err != nil {
+			t.Fatal(err)
+		}
+		if catalog.Version != 7 || catalog.Queues[0].MaxAttempts != 3 {
+			t.Errorf("version %d with %d attempts, want 7 with 3", catalog.Version, catalog.Queues[0].MaxAttempts)
+		}
+	})
+}
+
+// A worker that starts again under its id has forgotten what ran there.
+func TestRebornWorkerLosesItsRuns(t *testing.T) {
+	inCluster(t, 27, 4, 1, func(c *cluster) {
+		c.submit("long", jobID(1), scheduler.Request{Spec: "s", Steps: []scheduler.Step{step(2, 3000, 1)}})
+		time.Sleep(time.Second)
+		c.addWorkers(1)
+		c.waitFor("long", jobID(1), "completed", 15*time.Second)
+	})
+}
+
+// A job whose tasks fail again and again is given up after the attempts of
+// its queue, no earlier and no later.
+func TestAttemptsAreCounted(t *testing.T) {
+	inCluster(t, 28, 4, 4, func(c *cluster) {
+		c.world.SetFaults(faker.TaskFaults{Fail: 1})
+		c.submit("long", jobID(1), scheduler.Request{Spec: "s", Steps: []scheduler.Step{step(1, 200, 1)}})
+		c.waitFor("long", jobID(1), "failed", 10*time.Second)
+		time.Sleep(2 * time.Second)
+		starts := 0
+		for _, event := range c.world.History() {
+			if event.How == "" {
+				starts++
+			}
+		}
+		if starts != 3 {
+			t.Errorf("%d starts, want the 3 attempts of the queue", starts)
+		}
+	})
+}
+
+func TestCallsOfOtherTeams(t *testing.T) {
+	inCluster(t, 29, 4, 2, func(c *cluster) {
+		call := c.submitCall("long", jobID(1), scheduler.Request{Steps: []scheduler.Step{step(1, 5000, 1)}})
+		c.until(call, time.Second)
+		tests := []struct {
+			name string
+			call forwarder.Call
+			want string
+		}{
+			{"unknown key", forwarder.Call{Kind: forwarder.KindState, Host: "h", Path: call.Path, Key: "x"}, "unauthorized"},
+			{"no key", forwarder.Call{Kind: forwarder.KindCancel, Host: "h", Path: call.Path}, "unauthorized"},
+			{"another team", forwarder.Call{Kind: forwarder.KindState, Host: "h", Path: call.Path, Key: otherKey}, "no-such-job"},
+			{"another team cancels", forwarder.Call{Kind: forwarder.KindCancel, Host: "h", Path: call.Path, Key: otherKey}, "no-such-job"},
+			{"no such queue", forwarder.Call{Kind: forwarder.KindState, Host: "h", Path: "/none/", Key: teamKey}, "not-found"},
+			{"no job id", forwarder.Call{Kind: forwarder.KindState, Host: "h", Path: "/long/xyz", Key: teamKey}, "invalid"},
+			{"body cut short", forwarder.Call{Kind: forwarder.KindSubmit, Host: "h", Path: "/long/" + string(jobID(2)), Key: teamKey, Document: json.RawMessage(`{"spec":1}`)}, "invalid"},
+		}
+		for _, test := range tests {
+			t.Run(test.name, func(t *testing.T) {
+				if answer := c.call(context.Background(), test.call); string(answer.Code) != test.want {
+					t.Errorf("%s, want %s", answer.Code, test.want)
+				}
+			})
+		}
+		if state := c.state("long", jobID(1)); state != "running" {
+			t.Errorf("the job is %s", state)
+		}
+	})
+}
--- /dev/null
+++ b/coordinator/schedules_test.go
@@ -0,0 +1,171 @@
+package coordinator_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"cranberrystack.dev/cranberrystack/faker"
+	"cranberrystack.dev/cranberrystack/forwarder"
+	"cranberrystack.dev/cranberrystack/identifier"
+	"cranberrystack.dev/cranberrystack/scheduler"
+)
+
+var (
+	firstSeed = flag.Uint64("first-seed", 1000, "the first seed of the schedules")
+	seedCount = flag.Int("seeds", 40, "how many schedules are played")
+)
+
+// schedule is one seeded course of troubles.
+type schedule struct {
+	c       *cluster
+	random  *rand.Rand
+	workers []identifier.WorkerID
+	// accepted holds the jobs that were acknowledged and not cancelled.
+	accepted map[identifier.JobID]string
+	refused  map[identifier.JobID]bool
+	version  int
+}
+
+// TestSchedules plays seeded courses of kills, cuts, lost disks, late and lost
+// orders, workers that start again, cancels and changes of the catalog. At the
+// end everything is back, and all that was accepted has to be completed, each
+// task once, nothing that was refused, and the newest version in force.
+func TestSchedules(t *testing.T) {
+	for i := range *seedCount {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			inCluster(t, seed, 4, 8, func(c *cluster) {
+				s := &schedule{
+					c: c, random: rand.New(rand.NewPCG(seed, 1)), version: 1,
+					accepted: map[identifier.JobID]string{}, refused: map[identifier.JobID]bool{},
+				}
+				for i := range 8 {
+					s.workers = append(s.workers, identifier.WorkerID(fmt.Sprintf("w-%02d", i)))
+				}
+				s.play()
+				s.judge()
+			})
+		})
+	}
+}
+
+func (s *schedule) play() {
+	faults := faker.TaskFaults{LateBy: time.Duration(2+s.random.IntN(8)) * time.Second}
+	if s.random.IntN(2) == 0 {
+		faults.ApplyLate = 0.05
+	}
+	if s.random.IntN(2) == 0 {
+		faults.LoseAnswer = 0.05
+	}
+	s.c.world.SetFaults(faults)
+	for round := range 12 {
+		s.submit(round)
+		s.trouble()
+		time.Sleep(time.Duration(s.random.IntN(1500)) * time.Millisecond)
+	}
+	s.c.world.SetFaults(faker.TaskFaults{})
+}
+
+func (s *schedule) submit(round int) {
+	for i := range 1 + s.random.IntN(3) {
+		id := jobID(100*round + i + 1)
+		one := step(1+s.random.IntN(4), int64(200+s.random.IntN(4000)), int64(1+s.random.IntN(8)))
+		one.Gang = s.random.IntN(3) == 0
+		one.Checkpoints = s.random.IntN(2) == 0
+		request := scheduler.Request{Spec: "s", Steps: []scheduler.Step{one}}
+		if s.random.IntN(3) == 0 {
+			next := step(1+s.random.IntN(3), 500, 1)
+			next.DependsOn = []int{0}
+			request.Steps = append(request.Steps, next)
+		}
+		queue := []string{"urgent", "long"}[s.random.IntN(2)]
+		call := s.c.submitCall(queue, id, request)
+		h := s.c.hosts[s.random.IntN(len(s.c.hosts))]
+		if h.coordinator == nil {
+			continue
+		}
+		switch answer := s.c.call(s.c.t.Context(), call); answer.Code {
+		case forwarder.CodeOK:
+			s.accepted[id] = queue
+		case "unavailable", "":
+			s.refused[id] = true
+		}
+	}
+}
+
+// trouble lets one thing go wrong. No more than one store is lost at a time.
+func (s *schedule) trouble() {
+	c := s.c
+	h := c.hosts[s.random.IntN(len(c.hosts))]
+	if s.random.IntN(2) == 0 {
+		if leader := c.leader(); leader != nil {
+			h = leader
+		}
+	}
+	span := time.Duration(200+s.random.IntN(5000)) * time.Millisecond
+	switch s.random.IntN(8) {
+	case 0:
+		h.crash()
+		time.Sleep(span)
+		h.start(false)
+	case 1:
+		h.crash()
+		h.wipe()
+		time.Sleep(span)
+		h.start(false)
+		time.Sleep(5 * time.Second)
+	case 2:
+		c.isolate(true, h.name)
+		time.Sleep(span)
+		c.isolate(false, h.name)
+	case 3:
+		for _, other := range c.hosts {
+			other.crash()
+		}
+		time.Sleep(span)
+		for _, other := range c.hosts {
+			other.start(false)
+		}
+	case 4:
+		cut := s.workers[:1+s.random.IntN(3)]
+		for _, other := range c.hosts {
+			c.world.Cut(other.name, cut, true)
+		}
+		time.Sleep(2 * span)
+		for _, other := range c.hosts {
+			c.world.Cut(other.name, cut, false)
+		}
+	case 5:
+		id := s.workers[s.random.IntN(len(s.workers))]
+		c.addWorker(id, scheduler.Resources{CPU: 64000, Memory: 128000, Accelerators: 8}, "r1-0")
+	case 6:
+		s.version += 1 + s.random.IntN(3)
+		go c.configure(s.version, 3)
+	case 7:
+		for id, queue := range s.accepted {
+			call := forwarder.Call{Kind: forwarder.KindCancel, Host: "h", Path: "/" + queue + "/" + string(id), Key: teamKey}
+			if answer := c.call(c.t.Context(), call); answer.OK() {
+				delete(s.accepted, id)
+			}
+			break
+		}
+	}
+}
+
+func (s *schedule) judge() {
+	c := s.c
+	c.waitForLeader(10 * time.Second)
+	for id, queue := range s.accepted {
+		c.waitFor(queue, id, "completed", 60*time.Second)
+	}
+	time.Sleep(12 * time.Second)
+	for _, event := range c.world.History() {
+		if s.refused[event.Run.Task.Job] {
+			c.t.Errorf("%s of a refused job happened", event.Run)
+		}
+	}
+	c.until(forwarder.Call{Kind: forwarder.KindReadCatalog}, 5*time.Second)
+}
--- a/coordinator/starter.go
+++ b/coordinator/starter.go
@@ -9,6 +9,7 @@
 
 const (
 	startTries = 3
+	strayTries = 4
 	stopPause  = 250 * time.Millisecond
 	// restopAfter is when a stop that has been answered is sent again.
 	restopAfter = time.Second
@@ -42,11 +43,12 @@
 	if !c.rules(lead) || try == nil || c.state.Run(run.ID) == nil || job == nil || !job.Active() || !try.Stopped.IsZero() {
 		return StartOrder{}, false
 	}
-	watch := lead.observer.Watch(run.Worker, run.Born)
+	now := time.Now()
+	watch := lead.observer.Watch(run.Worker, run.Born, now)
 	if watch.Born != run.Born {
 		return StartOrder{}, false
 	}
-	deadline := watch.Prolong(c.options.startLease, time.Now())
+	deadline := watch.Prolong(c.options.startLease, now)
 	try.Deadline = max(try.Deadline, deadline)
 	return StartOrder{
 		Run: run.ID, Spec: spec, Deadline: deadline, Fence: lead.fence,
@@ -60,6 +62,7 @@
 	if try := lead.tries[run.ID]; try != nil && try.Started.IsZero() {
 		try.Unanswered = true
 	}
+	lead.observer.Loosen(&run, time.Now())
 	if lead.ctx.Err() == nil {
 		c.event("start-unanswered", "run", run.ID, "worker", run.Worker, "error", err)
 	}
@@ -74,7 +77,7 @@
 	}
 	try.Calling = 0
 	now := time.Now()
-	watch := lead.observer.Watch(run.Worker, run.Born)
+	watch := lead.observer.Watch(run.Worker, run.Born, now)
 	watch.Hear(answer.Clock, now)
 	if answer.Refusal == RefusedNot {
 		try.Started = now
@@ -89,7 +92,13 @@
 	case RefusedTicket:
 		delete(lead.observer.Tickets, run.ID.Task.StepID())
 	}
-	if try.Unanswered {
+	if answer.Refusal == RefusedOld {
+		// The run may have been there and ended, which the worker lists.
+		try.Refused = now
+		c.attend(run.Worker)
+		return
+	}
+	if try.Unanswered || !try.Started.IsZero() {
 		c.orderStop(run.ID, "an earlier start has no answer", now)
 		return
 	}
@@ -113,7 +122,7 @@
 		return
 	}
 	if try.Started.IsZero() {
-		lead.observer.Watch(run.Worker, run.Born).Rest(now.Add(restAfterRefusal))
+		lead.observer.Watch(run.Worker, run.Born, now).Rest(now.Add(restAfterRefusal))
 		c.orderStop(run.ID, "start has no answer", now)
 	}
 	c.attend(run.Worker)
@@ -127,7 +136,7 @@
 	if run == nil || lead == nil {
 		return
 	}
-	watch := lead.observer.Watch(run.Worker, run.Born)
+	watch := lead.observer.Watch(run.Worker, run.Born, now)
 	if _, under := watch.Stopping[id]; under {
 		return
 	}
@@ -171,7 +180,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	lead.observer.Watch(run.Worker, run.Born).Hear(answer.Clock, now)
+	lead.observer.Watch(run.Worker, run.Born, now).Hear(answer.Clock, now)
 	if try := lead.tries[run.ID]; try != nil {
 		try.Stopped = now
 	}
@@ -188,14 +197,30 @@
 	go c.stopRun(lead, *run)
 }
 
+// stopLoose blocks the starts that may still reach a worker's new life. The
+// caller holds mu.
+func (c *Coordinator) stopLoose(worker *scheduler.Worker, now time.Time) {
+	for _, id := range c.lead.observer.Loose(worker.ID, now) {
+		if run := c.state.Run(id); run != nil && run.Born == worker.Born {
+			continue
+		}
+		c.stopStray(c.lead, worker, id)
+	}
+}
+
 // stopStray stops a run that this leader knows nothing of. The caller holds
 // mu.
 func (c *Coordinator) stopStray(lead *leadership, worker *scheduler.Worker, id scheduler.RunID) {
 	c.event("stray-run", "run", id, "worker", worker.ID, "term", uint64(lead.fence))
 	to := Destination{Worker: worker.ID, Address: worker.Address}
 	go func() {
-		ctx, cancel := context.WithTimeout(lead.ctx, c.options.callTimeout)
-		defer cancel()
-		_, _ = c.config.Orders.Stop(ctx, to, RunOrder{Run: id, Fence: lead.fence})
+		for range strayTries {
+			ctx, cancel := context.WithTimeout(lead.ctx, c.options.callTimeout)
+			answer, err := c.config.Orders.Stop(ctx, to, RunOrder{Run: id, Fence: lead.fence})
+			cancel()
+			if err == nil && answer.Refusal == RefusedNot || lead.ctx.Err() != nil {
+				return
+			}
+		}
 	}()
 }
--- a/coordinator/workers.go
+++ b/coordinator/workers.go
@@ -74,6 +74,10 @@
 		c.mu.Unlock()
 		return document(reportBody{ReportTo: c.config.ReportTo})
 	}
+	bornBefore := scheduler.UnixMilli(0)
+	if known != nil {
+		bornBefore = known.Born
+	}
 	p := c.enqueue(0, scheduler.Command{Enlist: &worker})
 	c.mu.Unlock()
 	results, err := p.wait(ctx)
@@ -85,7 +89,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if results[0].Outcome == scheduler.OutcomeDone && c.lead != nil {
-		c.heard(&worker, r, time.Now())
+		now := time.Now()
+		if bornBefore > 0 && worker.Born > bornBefore {
+			c.stopLoose(&worker, now)
+		}
+		c.heard(&worker, r, now)
 		c.poke()
 	}
 	return document(reportBody{ReportTo: c.config.ReportTo})
@@ -93,7 +101,7 @@
 
 // heard notes a sign of life. The caller holds mu.
 func (c *Coordinator) heard(worker *scheduler.Worker, r report, now time.Time) {
-	watch := c.lead.observer.Watch(worker.ID, worker.Born)
+	watch := c.lead.observer.Watch(worker.ID, worker.Born, now)
 	if watch.Born != worker.Born || *r.Sequence <= watch.Sequence {
 		return
 	}
--- a/scheduler/observer.go
+++ b/scheduler/observer.go
@@ -31,6 +31,8 @@
 // Watch is what the leader has seen of one worker's life.
 type Watch struct {
 	Born UnixMilli
+	// since is when this life was first seen.
+	since time.Time
 	// Sequence is that of the newest report.
 	Sequence int64
 	// Heard is when anything of this worker last arrived.
@@ -71,7 +73,9 @@
 	Tickets map[StepID]map[identifier.WorkerID]Ticket
 
 	watches map[identifier.WorkerID]*Watch
-	avoid   map[TaskID]map[identifier.WorkerID]bool
+	// loose holds the starts without an answer, by worker.
+	loose map[identifier.WorkerID]map[RunID]time.Time
+	avoid map[TaskID]map[identifier.WorkerID]bool
 }
 
 // Ticket allows a step's tasks to start in one life of a worker.
@@ -98,17 +102,18 @@
 		Closed:  map[identifier.WorkerID]bool{},
 		Tickets: map[StepID]map[identifier.WorkerID]Ticket{},
 		watches: map[identifier.WorkerID]*Watch{},
+		loose:   map[identifier.WorkerID]map[RunID]time.Time{},
 		avoid:   map[TaskID]map[identifier.WorkerID]bool{},
 	}
 }
 
 // Watch returns what was seen of a life of a worker. What was seen of earlier
 // lives is forgotten.
-func (o *Observer) Watch(id identifier.WorkerID, born UnixMilli) *Watch {
+func (o *Observer) Watch(id identifier.WorkerID, born UnixMilli, now time.Time) *Watch {
 	watch, known := o.watches[id]
 	if !known || watch.Born < born {
 		watch = &Watch{
-			Born: born, Progress: map[RunID]Progress{}, Stopping: map[RunID]time.Time{},
+			Born: born, since: now, Progress: map[RunID]Progress{}, Stopping: map[RunID]time.Time{},
 			failures: map[identifier.JobID]time.Time{},
 		}
 		o.watches[id] = watch
@@ -161,21 +166,22 @@
 }
 
 // Lapsed reports whether every lease on a worker is certain to have ended.
+// Until a lease's length has passed since the leader took over, and since the
+// worker's life was first seen, others may have prolonged them.
 func (o *Observer) Lapsed(id identifier.WorkerID, now time.Time) bool {
 	const margin = 300 * time.Millisecond
 	longest := time.Duration(float64(o.MaxLease)/clockRate) + margin
-	watch, known := o.watches[id]
-	if !known || !watch.clocked {
-		return now.Sub(o.Since) > longest
+	if now.Sub(o.Since) <= longest {
+		return false
 	}
-	if watch.Heard.IsZero() {
-		return now.Sub(o.Since) > longest
+	watch, known := o.watches[id]
+	if !known {
+		return true
 	}
-	since := o.Since
-	if watch.deadline > 0 {
-		return watch.Clock(now) > watch.deadline+WorkerMilli(margin.Milliseconds()) && now.Sub(since) > longest
+	if now.Sub(watch.since) <= longest {
+		return false
 	}
-	return now.Sub(since) > longest
+	return !watch.clocked || watch.Clock(now) > watch.deadline+WorkerMilli(margin.Milliseconds())
 }
 
 // Sound reports whether a worker can be given runs.
@@ -190,9 +196,34 @@
 	return watch.Misses == 0 && now.Sub(watch.Heard) < o.Silence && !now.Before(watch.resting)
 }
 
+// looseMemory is how long a start without an answer may still be carried out.
+const looseMemory = 20 * time.Second
+
+// Loosen notes that a start has no answer. It may reach also a later life of
+// the worker, which has forgotten what ran before.
+func (o *Observer) Loosen(run *Run, now time.Time) {
+	runs, known := o.loose[run.Worker]
+	if !known {
+		runs = map[RunID]time.Time{}
+		o.loose[run.Worker] = runs
+	}
+	runs[run.ID] = now
+}
+
+// Loose returns the starts that may still reach a worker.
+func (o *Observer) Loose(id identifier.WorkerID, now time.Time) []RunID {
+	var runs []RunID
+	for run, at := range o.loose[id] {
+		if now.Sub(at) < looseMemory {
+			runs = append(runs, run)
+		}
+	}
+	return runs
+}
+
 // Failed notes that a run ended as failed.
 func (o *Observer) Failed(run *Run, now time.Time) {
-	watch := o.Watch(run.Worker, run.Born)
+	watch := o.Watch(run.Worker, run.Born, now)
 	watch.failures[run.ID.Task.Job] = now
 	workers, known := o.avoid[run.ID.Task]
 	if !known {
@@ -203,8 +234,8 @@
 }
 
 // Succeeded notes that a run ended as done.
-func (o *Observer) Succeeded(run *Run) {
-	clear(o.Watch(run.Worker, run.Born).failures)
+func (o *Observer) Succeeded(run *Run, now time.Time) {
+	clear(o.Watch(run.Worker, run.Born, now).failures)
 	delete(o.avoid, run.ID.Task)
 }
 
@@ -239,7 +270,7 @@
 }
 
 // Forget drops what is kept of runs that have ended.
-func (o *Observer) Forget(s *State) {
+func (o *Observer) Forget(s *State, now time.Time) {
 	for _, watch := range o.watches {
 		for id := range watch.Stopping {
 			if s.runs[id] == nil {
@@ -252,6 +283,16 @@
 			}
 		}
 	}
+	for id, runs := range o.loose {
+		for run, at := range runs {
+			if now.Sub(at) >= looseMemory {
+				delete(runs, run)
+			}
+		}
+		if len(runs) == 0 {
+			delete(o.loose, id)
+		}
+	}
 	for task := range o.avoid {
 		if s.active[task.Job] == nil {
 			delete(o.avoid, task)
--- a/scheduler/tracker.go
+++ b/scheduler/tracker.go
@@ -12,6 +12,9 @@
 	Deadline WorkerMilli
 	// Started is when the worker said that the run is there.
 	Started time.Time
+	// Refused is when the worker said that the run can't start any more, though
+	// it may have been there.
+	Refused time.Time
 	// Stopped is when the worker said that the run was ordered to stop, after
 	// which it can't start any more.
 	Stopped time.Time
@@ -62,7 +65,8 @@
 	switch {
 	case try == nil || try.Calling > 0:
 		return false
-	case !try.Stopped.IsZero() && try.Stopped.Before(look.Sent):
+	case !try.Stopped.IsZero() && try.Stopped.Before(look.Sent),
+		!try.Refused.IsZero() && try.Refused.Before(look.Sent):
 		return true
 	case run.Born < look.Born:
 		// The life that was meant has ended. A start that was not answered may
