--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -130,7 +130,7 @@
 	watch := lead.observer.Watch(id, born, time.Now())
 	watch.Misses++
 	if watch.Misses == 1 {
-		c.event("worker-silent", "worker", id, "born", int64(born), "heard-ms-ago", time.Since(watch.Heard).Milliseconds(), "error", err)
+		c.event("worker-silent", "worker", id, "born", int64(born), "heard-ms-ago", sinceMillis(watch.Heard), "error", err)
 	}
 }
 
--- a/coordinator/cluster_test.go
+++ b/coordinator/cluster_test.go
@@ -281,7 +281,7 @@
 }
 
 func (c *cluster) report(ctx context.Context, id identifier.WorkerID, worker *faker.TaskWorker, state scheduler.WorkerState) {
-	sequence, clock := worker.Report(state)
+	sequence, clock := worker.Report()
 	data, err := json.Marshal(reportBody{
 		Pool: "pool", Address: string(id), DataCenter: "dc", State: string(state), Sequence: sequence,
 		Born: int64(worker.Born), Clock: int64(clock), Remaining: 10000, Labels: worker.Labels, Capacity: worker.Capacity,
--- a/faker/tasks.go
+++ b/faker/tasks.go
@@ -189,8 +189,8 @@
 	return scheduler.WorkerMilli(1 + clockRate*float64(time.Since(t.start).Milliseconds()))
 }
 
-// Report returns what the worker says of itself.
-func (t *TaskWorker) Report(state scheduler.WorkerState) (sequence int64, clock scheduler.WorkerMilli) {
+// Report returns what numbers and dates the worker's next report.
+func (t *TaskWorker) Report() (sequence int64, clock scheduler.WorkerMilli) {
 	t.world.mu.Lock()
 	defer t.world.mu.Unlock()
 	t.sequence++
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -132,6 +132,9 @@
 	next    int
 	// confirmed is when the leader last answered.
 	confirmed time.Time
+	// told is the leader that was last reported as found, empty once it was
+	// reported as lost.
+	told string
 }
 
 // New returns a forwarder that begins with the seeds.
@@ -284,8 +287,8 @@
 
 func (f *Forwarder) confirm(leader string) {
 	f.mu.Lock()
-	changed := f.leader != leader
-	f.leader = leader
+	changed := f.told != leader
+	f.leader, f.told = leader, leader
 	f.confirmed = time.Now()
 	f.mu.Unlock()
 	if changed && f.config.Event != nil {
@@ -295,10 +298,13 @@
 
 func (f *Forwarder) lose(leader string) {
 	f.mu.Lock()
-	lost := f.leader == leader
-	if lost {
+	if f.leader == leader {
 		f.leader = ""
 	}
+	lost := f.told == leader
+	if lost {
+		f.told = ""
+	}
 	f.mu.Unlock()
 	if lost && f.config.Event != nil {
 		f.config.Event("leader-lost", leader)
--- a/scheduler/planner.go
+++ b/scheduler/planner.go
@@ -61,7 +61,7 @@
 // Plan returns what to do. wall is the time of day.
 func (p *Planner) Plan(s *State, o *Observer, now time.Time, wall UnixMilli) Plan {
 	var plan Plan
-	plan.Stop = p.stops(s, o, now, wall)
+	plan.Stop = requiredStops(s, o, wall)
 	board := newBoard(s, o, now, wall)
 	for _, stop := range plan.Stop {
 		board.stopping(s.runs[stop.Run])
@@ -164,14 +164,14 @@
 	}
 }
 
-// stops returns the runs that should end whatever else waits.
-func (p *Planner) stops(s *State, o *Observer, now time.Time, wall UnixMilli) []Stop {
+// requiredStops returns the runs that should end whatever else waits.
+func requiredStops(s *State, o *Observer, wall UnixMilli) []Stop {
 	var stops []Stop
 	for id, run := range s.runs {
 		if o.Stopping(run) {
 			continue
 		}
-		if reason := stopReason(s, o, run, now, wall); reason != "" {
+		if reason := stopReason(s, o, run, wall); reason != "" {
 			stops = append(stops, Stop{Run: id, Reason: reason})
 		}
 	}
@@ -193,7 +193,7 @@
 	return a.Number < b.Number
 }
 
-func stopReason(s *State, o *Observer, run *Run, now time.Time, wall UnixMilli) string {
+func stopReason(s *State, o *Observer, run *Run, wall UnixMilli) string {
 	job := s.jobs[run.ID.Task.Job]
 	if job == nil {
 		return "job is forgotten"
