--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -78,7 +78,6 @@
 	agents   map[identifier.WorkerID]bool
 	// assigning says that placements are being committed.
 	assigning bool
-	planned   time.Time
 	advising  map[scheduler.StepID]bool
 	paces     map[scheduler.RunID]int
 	upkeep    map[scheduler.MachineID]bool
--- a/faker/tasks.go
+++ b/faker/tasks.go
@@ -145,12 +145,11 @@
 }
 
 type taskRun struct {
-	fence  scheduler.Fence
-	since  time.Time
-	timer  *time.Timer
-	works  bool
-	paced  int
-	leased bool
+	fence scheduler.Fence
+	since time.Time
+	timer *time.Timer
+	works bool
+	paced int
 }
 
 // Worker adds a worker, or starts it again under its id.
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -116,9 +116,6 @@
 	return r.StartAt + UnixMilli(int64(occurrence)*r.IntervalMillis)
 }
 
-// timed reports whether the job starts by the time of day.
-func (r *Request) timed() bool { return r.Repeat > 0 || r.StartAt > 0 }
-
 // chain returns the longest chain of work, in milliseconds.
 func (r *Request) chain() int64 {
 	longest := int64(0)
