--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -80,10 +80,12 @@
 	assigning bool
 	advising  map[scheduler.StepID]bool
 	paces     map[scheduler.RunID]int
-	upkeep    map[scheduler.MachineID]bool
-	machines  []Machine
-	listed    time.Time
-	listing   bool
+	// stops holds the stops ordered in this office, by job.
+	stops    map[identifier.JobID][]scheduler.JobEvent
+	upkeep   map[scheduler.MachineID]bool
+	machines []Machine
+	listed   time.Time
+	listing  bool
 }
 
 // Open restores the state from the folder and joins the log.
@@ -228,6 +230,7 @@
 		agents:   map[identifier.WorkerID]bool{},
 		advising: map[scheduler.StepID]bool{},
 		paces:    map[scheduler.RunID]int{},
+		stops:    map[identifier.JobID][]scheduler.JobEvent{},
 		upkeep:   map[scheduler.MachineID]bool{},
 	}
 	statistics := c.state.Statistics()
--- a/coordinator/explain.go
+++ b/coordinator/explain.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"sort"
+
 	"cranberrystack.dev/cranberrystack/forwarder"
 	"cranberrystack.dev/cranberrystack/identifier"
 	"cranberrystack.dev/cranberrystack/responder"
@@ -19,6 +21,8 @@
 	Waiting  int                 `json:"waiting-tasks"`
 	Done     int                 `json:"done-tasks"`
 	Runs     []*scheduler.Run    `json:"runs,omitempty"`
+	// Events are the job's life, with the stops that this leader ordered.
+	Events []scheduler.JobEvent `json:"events"`
 }
 
 func (c *Coordinator) explain(call forwarder.Call) forwarder.Answer {
@@ -45,6 +49,11 @@
 		}
 	}
 	e.Runs = c.state.RunsOf(job.ID)
+	e.Events = append(e.Events, job.Life...)
+	if c.lead != nil {
+		e.Events = append(e.Events, c.lead.stops[job.ID]...)
+	}
+	sort.SliceStable(e.Events, func(i, j int) bool { return e.Events[i].At < e.Events[j].At })
 	return document(e)
 }
 
@@ -63,9 +72,17 @@
 	Pending int                 `json:"pending"`
 }
 
+// teamView is a guarantee against what the team's urgent jobs hold.
+type teamView struct {
+	Team       identifier.TeamID `json:"team"`
+	Guaranteed int64             `json:"guaranteed-accelerators"`
+	Used       int64             `json:"used-accelerators"`
+}
+
 type overviewBody struct {
 	Statistics scheduler.Statistics `json:"statistics"`
 	Queues     []queueView          `json:"queues"`
+	Teams      []teamView           `json:"teams"`
 	Workers    []workerView         `json:"workers"`
 }
 
@@ -80,6 +97,12 @@
 		name := c.state.Catalog().Queues[i].Name
 		body.Queues = append(body.Queues, queueView{Queue: name, Pending: c.state.Pending(name)})
 	}
+	for i := range c.state.Catalog().Teams {
+		team := &c.state.Catalog().Teams[i]
+		body.Teams = append(body.Teams, teamView{
+			Team: team.Name, Guaranteed: team.Guarantee.Accelerators, Used: c.state.Used(team.Name).Accelerators,
+		})
+	}
 	for _, worker := range c.state.Workers() {
 		view := workerView{Worker: worker.ID, State: worker.State, Pool: worker.Pool, Runs: len(c.state.Placed(worker.ID))}
 		if watch := c.lead.observer.Known(worker.ID); watch != nil {
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -104,6 +104,11 @@
 }
 
 func (c *Coordinator) forgetTries() {
+	for id := range c.lead.stops {
+		if c.state.Job(id) == nil {
+			delete(c.lead.stops, id)
+		}
+	}
 	for id := range c.lead.tries {
 		if c.state.Run(id) == nil {
 			delete(c.lead.tries, id)
--- a/coordinator/starter.go
+++ b/coordinator/starter.go
@@ -144,11 +144,24 @@
 	if lead.tries[id] == nil {
 		lead.tries[id] = &scheduler.Try{}
 	}
+	lead.noteStop(id, reason)
 	c.event("stop", "run", id, "worker", run.Worker, "reason", reason, "term", uint64(lead.fence))
 	c.attend(run.Worker)
 	go c.stopRun(lead, *run)
 }
 
+// maxStops bounds the stops that are kept of a job.
+const maxStops = 40
+
+// noteStop keeps why a run was stopped, for those who ask about its job.
+func (l *leadership) noteStop(id scheduler.RunID, reason string) {
+	events := l.stops[id.Task.Job]
+	if len(events) >= maxStops {
+		return
+	}
+	l.stops[id.Task.Job] = append(events, scheduler.JobEvent{At: wall(), Text: id.String() + " is stopped: " + reason})
+}
+
 func (c *Coordinator) stopRun(lead *leadership, run scheduler.Run) {
 	for {
 		to, proceed := c.stopTarget(lead, run)
--- a/cranberryctl/command/command.go
+++ b/cranberryctl/command/command.go
@@ -65,6 +65,7 @@
 	flags.DurationVar(&s.timeout, "timeout", defaultTimeout, "time for one call")
 	root.AddCommand(newLists(s), newStatus(s), newVoters(s), newUpstreams(s), newClaims(s))
 	root.AddCommand(newRequest(s), newKey(s), newJobs(s))
+	root.AddCommand(newWork(s)...)
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
 		return fmt.Errorf("%w: %w", errUsage, err)
 	})
@@ -109,7 +110,7 @@
 		return ExitOutcomeUnknown
 	case "conflict":
 		return ExitConflict
-	case "no-such-plan", "impossible", "invalid", "unauthorized", "forbidden", "not-found", "too-large":
+	case "no-such-plan", "impossible", "invalid", "unauthorized", "forbidden", "not-found", "no-such-job", "too-large":
 		return ExitRefused
 	}
 	return ExitFailed
--- /dev/null
+++ b/cranberryctl/command/work.go
@@ -0,0 +1,287 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"cranberrystack.dev/cranberryctl/caller"
+	"cranberrystack.dev/cranberrystack/forwarder"
+	"cranberrystack.dev/cranberrystack/messenger"
+)
+
+const watchInterval = 500 * time.Millisecond
+
+// newWork returns the commands for jobs with steps.
+func newWork(s *session) []*cobra.Command {
+	return []*cobra.Command{
+		newSubmitSteps(s), newWatchSteps(s), newCancelSteps(s), newExplain(s), newTop(s), newCatalog(s),
+	}
+}
+
+// ask brings a call to the leader of the system.
+func (s *session) ask(call forwarder.Call) (forwarder.Answer, error) {
+	call.Key = s.token
+	if call.Key == "" {
+		call.Key = os.Getenv("CRANBERRY_TOKEN")
+	}
+	m := messenger.New("", (&net.Dialer{}).DialContext)
+	defer m.Close()
+	f := forwarder.New(forwarder.Config{Post: m.Post, Get: m.Get, NotSent: messenger.ErrNotSent},
+		strings.Split(s.address, ","), forwarder.Patience(s.timeout/2))
+	ctx, cancel := context.WithTimeout(context.Background(), s.timeout)
+	defer cancel()
+	answer := f.Do(ctx, call)
+	if !answer.OK() {
+		return answer, &caller.Refusal{Code: string(answer.Code), Reason: answer.Reason}
+	}
+	return answer, nil
+}
+
+// splitAddress returns the host and the path of HOST/PREFIX/ID.
+func splitAddress(address string) (host, path string, err error) {
+	host, rest, found := strings.Cut(address, "/")
+	if !found || host == "" {
+		return "", "", fmt.Errorf("%q is not HOST/PREFIX/ID: %w", address, errUsage)
+	}
+	return host, "/" + rest, nil
+}
+
+func (s *session) askJob(kind forwarder.Kind, address string, document json.RawMessage) (forwarder.Answer, error) {
+	host, path, err := splitAddress(address)
+	if err != nil {
+		return forwarder.Answer{}, err
+	}
+	return s.ask(forwarder.Call{Kind: kind, Host: host, Path: path, Document: document})
+}
+
+func newSubmitSteps(s *session) *cobra.Command {
+	return &cobra.Command{
+		Use: "submit HOST/PREFIX/ID FILE", Short: "Submit a job with steps; the same id again is the same job", Args: exactly(2),
+		RunE: func(_ *cobra.Command, arguments []string) error {
+			document, err := s.readFile(arguments[1])
+			if err != nil {
+				return err
+			}
+			if _, err := s.askJob(forwarder.KindSubmit, arguments[0], document); err != nil {
+				return err
+			}
+			fmt.Fprintln(s.out, arguments[0], "accepted")
+			return nil
+		},
+	}
+}
+
+type stateAnswer struct {
+	State   string `json:"state"`
+	Pending *int   `json:"pending"`
+}
+
+func newWatchSteps(s *session) *cobra.Command {
+	var wait bool
+	command := &cobra.Command{
+		Use: "watch HOST/PREFIX/ID", Short: "Print the state of a job, or what waits in a queue", Args: exactly(1),
+		RunE: func(_ *cobra.Command, arguments []string) error {
+			for {
+				answer, err := s.askJob(forwarder.KindState, arguments[0], nil)
+				if err != nil {
+					return err
+				}
+				var state stateAnswer
+				if err := json.Unmarshal(answer.Document, &state); err != nil {
+					return fmt.Errorf("read answer: %w", err)
+				}
+				if wait && (state.State == "queued" || state.State == "running") {
+					time.Sleep(watchInterval)
+					continue
+				}
+				return s.printState(state, answer.Document)
+			}
+		},
+	}
+	command.Flags().BoolVar(&wait, "wait", false, "wait until the job has ended")
+	return command
+}
+
+func (s *session) printState(state stateAnswer, document json.RawMessage) error {
+	if s.output == "json" {
+		return s.printJSON(document)
+	}
+	if state.Pending != nil {
+		fmt.Fprintln(s.out, "pending", *state.Pending)
+		return nil
+	}
+	fmt.Fprintln(s.out, state.State)
+	if state.State == "failed" {
+		return errJobFailed
+	}
+	return nil
+}
+
+func newCancelSteps(s *session) *cobra.Command {
+	return &cobra.Command{
+		Use: "cancel HOST/PREFIX/ID", Short: "Cancel a job with steps", Args: exactly(1),
+		RunE: func(_ *cobra.Command, arguments []string) error {
+			if _, err := s.askJob(forwarder.KindCancel, arguments[0], nil); err != nil {
+				return err
+			}
+			fmt.Fprintln(s.out, arguments[0], "cancelled")
+			return nil
+		},
+	}
+}
+
+type runView struct {
+	ID struct {
+		Task string `json:"task"`
+		Run  int    `json:"run"`
+	} `json:"id"`
+	Worker   string `json:"worker"`
+	Assigned int64  `json:"assigned"`
+}
+
+type explainAnswer struct {
+	Job      string    `json:"job"`
+	State    string    `json:"state"`
+	Queue    string    `json:"queue"`
+	Team     string    `json:"team"`
+	Accepted int64     `json:"accepted"`
+	Ended    int64     `json:"ended"`
+	Reason   string    `json:"reason"`
+	Waiting  int       `json:"waiting-tasks"`
+	Done     int       `json:"done-tasks"`
+	Runs     []runView `json:"runs"`
+	Events   []struct {
+		At   int64  `json:"at"`
+		Text string `json:"text"`
+	} `json:"events"`
+}
+
+func clockTime(millis int64) string {
+	if millis == 0 {
+		return "-"
+	}
+	return time.UnixMilli(millis).UTC().Format("15:04:05.000")
+}
+
+func newExplain(s *session) *cobra.Command {
+	return &cobra.Command{
+		Use: "explain JOB", Short: "Show the life of a job with steps", Args: exactly(1),
+		RunE: func(_ *cobra.Command, arguments []string) error {
+			answer, err := s.ask(forwarder.Call{Kind: forwarder.KindExplain, Path: arguments[0]})
+			if err != nil {
+				return err
+			}
+			if s.output == "json" {
+				return s.printJSON(answer.Document)
+			}
+			var e explainAnswer
+			if err := json.Unmarshal(answer.Document, &e); err != nil {
+				return fmt.Errorf("read answer: %w", err)
+			}
+			rows := [][]string{
+				{"job", e.Job}, {"state", e.State}, {"queue", e.Queue}, {"team", e.Team},
+				{"accepted", clockTime(e.Accepted)}, {"ended", clockTime(e.Ended)}, {"reason", e.Reason},
+				{"tasks waiting", strconv.Itoa(e.Waiting)}, {"tasks done", strconv.Itoa(e.Done)},
+			}
+			for _, run := range e.Runs {
+				rows = append(rows, []string{"runs", fmt.Sprintf("%s#%d on %s since %s", run.ID.Task, run.ID.Run, run.Worker, clockTime(run.Assigned))})
+			}
+			for _, event := range e.Events {
+				rows = append(rows, []string{clockTime(event.At), event.Text})
+			}
+			return s.printTable(rows)
+		},
+	}
+}
+
+type topAnswer struct {
+	Queues []struct {
+		Queue   string `json:"queue"`
+		Pending int    `json:"pending"`
+	} `json:"queues"`
+	Teams []struct {
+		Team       string `json:"team"`
+		Guaranteed int64  `json:"guaranteed-accelerators"`
+		Used       int64  `json:"used-accelerators"`
+	} `json:"teams"`
+	Workers []struct {
+		Worker string `json:"worker"`
+		State  string `json:"state"`
+		Pool   string `json:"pool"`
+		Runs   int    `json:"runs"`
+		Heard  int64  `json:"heard-ms-ago"`
+		Misses int    `json:"misses"`
+	} `json:"workers"`
+}
+
+func newTop(s *session) *cobra.Command {
+	return &cobra.Command{
+		Use: "top", Short: "Show queues, guarantees against use, and workers", Args: exactly(0),
+		RunE: func(*cobra.Command, []string) error {
+			answer, err := s.ask(forwarder.Call{Kind: forwarder.KindOverview})
+			if err != nil {
+				return err
+			}
+			if s.output == "json" {
+				return s.printJSON(answer.Document)
+			}
+			var top topAnswer
+			if err := json.Unmarshal(answer.Document, &top); err != nil {
+				return fmt.Errorf("read answer: %w", err)
+			}
+			return s.printTop(&top)
+		},
+	}
+}
+
+func (s *session) printTop(top *topAnswer) error {
+	rows := [][]string{{"QUEUE", "PENDING"}}
+	for _, queue := range top.Queues {
+		rows = append(rows, []string{queue.Queue, strconv.Itoa(queue.Pending)})
+	}
+	rows = append(rows, nil, []string{"TEAM", "GUARANTEED", "USED"})
+	for _, team := range top.Teams {
+		rows = append(rows, []string{team.Team, strconv.FormatInt(team.Guaranteed, 10), strconv.FormatInt(team.Used, 10)})
+	}
+	rows = append(rows, nil, []string{"WORKER", "STATE", "POOL", "RUNS", "HEARD MS AGO", "MISSES"})
+	for _, w := range top.Workers {
+		rows = append(rows, []string{w.Worker, w.State, w.Pool, strconv.Itoa(w.Runs), strconv.FormatInt(w.Heard, 10), strconv.Itoa(w.Misses)})
+	}
+	return s.printTable(rows)
+}
+
+func newCatalog(s *session) *cobra.Command {
+	group := &cobra.Command{Use: "catalog", Short: "Queues, pools and teams; the highest version takes effect"}
+	group.AddCommand(&cobra.Command{
+		Use: "put FILE", Short: "Offer a catalog", Args: exactly(1),
+		RunE: func(_ *cobra.Command, arguments []string) error {
+			document, err := s.readFile(arguments[0])
+			if err != nil {
+				return err
+			}
+			if _, err := s.ask(forwarder.Call{Kind: forwarder.KindConfigure, Document: document}); err != nil {
+				return err
+			}
+			fmt.Fprintln(s.out, "acknowledged")
+			return nil
+		},
+	}, &cobra.Command{
+		Use: "get", Short: "Print the catalog in force", Args: exactly(0),
+		RunE: func(*cobra.Command, []string) error {
+			answer, err := s.ask(forwarder.Call{Kind: forwarder.KindReadCatalog})
+			if err != nil {
+				return err
+			}
+			return s.printJSON(answer.Document)
+		},
+	})
+	return group
+}
--- a/cranberryd/development/development.go
+++ b/cranberryd/development/development.go
@@ -49,6 +49,7 @@
 type system struct {
 	settings *loader.Settings
 	daemon   *daemon.Daemon
+	steps    *steps
 	folder   string
 	stops    []func()
 	tokens   tokens
@@ -104,6 +105,11 @@
 		return nil, err
 	}
 	s.stops = append(s.stops, func() { _ = s.daemon.Stop(context.Background()) })
+	s.steps, err = startSteps(folder, logger)
+	if err != nil {
+		return nil, err
+	}
+	s.stops = append(s.stops, s.steps.close)
 	return s, s.startStandIns()
 }
 
--- a/cranberryd/development/show.go
+++ b/cranberryd/development/show.go
@@ -22,6 +22,9 @@
 		{"keyed request run once", s.sendKeyed},
 		{"gang placed", s.placeGang},
 		{"guarantee reclaimed", s.reclaim},
+		{"job of two steps", s.steps.twoSteps},
+		{"urgent job with steps", s.steps.reclaim},
+		{"job cancelled", s.steps.cancel},
 	}
 	for _, step := range steps {
 		began := time.Now()
--- a/cranberryd/node/gateway.go
+++ b/cranberryd/node/gateway.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
+	"github.com/gin-gonic/gin"
 	"go.uber.org/fx"
 
 	"cranberrystack.dev/cranberryd/loader"
@@ -11,6 +13,7 @@
 	"cranberrystack.dev/cranberrystack/kernel"
 	"cranberrystack.dev/cranberrystack/messenger"
 	"cranberrystack.dev/cranberrystack/platform"
+	"cranberrystack.dev/cranberrystack/responder"
 )
 
 func init() {
@@ -36,6 +39,12 @@
 
 func runGateway(lifecycle fx.Lifecycle, p *parts) {
 	f := p.newForwarder(nil)
+	p.engine.POST(forwarder.Path, func(g *gin.Context) {
+		var call forwarder.Call
+		if responder.Decode(g, messenger.MaxMessageBytes, &call) {
+			g.JSON(http.StatusOK, f.Do(g.Request.Context(), call))
+		}
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	p.drain = func(ctx context.Context) {
 		timer := time.NewTimer(rotationTime)
--- a/faker/tasks.go
+++ b/faker/tasks.go
@@ -111,6 +111,19 @@
 	return append([]TaskEvent(nil), w.history...)
 }
 
+// Running returns the runs that are alive.
+func (w *TaskWorld) Running() []scheduler.RunID {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var alive []scheduler.RunID
+	for _, worker := range w.workers {
+		for id := range worker.running {
+			alive = append(alive, id)
+		}
+	}
+	return alive
+}
+
 // TaskWorker is a stand-in worker that runs tasks under leases on its own
 // clock.
 type TaskWorker struct {
--- a/scheduler/apply.go
+++ b/scheduler/apply.go
@@ -38,7 +38,7 @@
 	case command.Note != nil:
 		return s.applyNote(command.Note, batch.Now)
 	case command.Drop != nil:
-		return s.applyDrop(command.Drop)
+		return s.applyDrop(command.Drop, batch.Now)
 	case command.Enlist != nil:
 		return s.applyEnlist(*command.Enlist, batch.Now)
 	case command.Leave != nil:
@@ -78,6 +78,7 @@
 		return Result{Outcome: OutcomeUnknown, Reason: "no such queue"}
 	}
 	job := newJob(submit.Job, queue, submit.Team, submit.Request, now)
+	job.note(now, "accepted in queue %s", job.Queue)
 	s.jobs[job.ID] = job
 	s.active[job.ID] = job
 	return Result{Outcome: OutcomeDone, Phase: job.Phase}
@@ -122,6 +123,9 @@
 		}
 		job.Started = true
 	}
+	if len(assign.Runs) > 0 {
+		s.jobs[assign.Runs[0].ID.Task.Job].noteAssigned(assign.Runs, batch.Now)
+	}
 	return Result{Outcome: OutcomeDone}
 }
 
@@ -188,6 +192,9 @@
 		task.Checkpoint = end.Checkpoint
 		state.Checkpoint = end.Checkpoint
 	}
+	if end.How != EndDone {
+		job.note(now, "%s ended on %s: %s", end.Run, note.Worker, end.How)
+	}
 	switch end.How {
 	case EndDone:
 		return s.taskDone(job, step, state, task, end.Run.Task.Occurrence, now)
@@ -245,12 +252,15 @@
 	return job
 }
 
-func (s *State) applyDrop(drop *Drop) Result {
+func (s *State) applyDrop(drop *Drop, now UnixMilli) Result {
 	result := Result{Outcome: OutcomeSame}
 	for _, id := range drop.Runs {
 		if run := s.runs[id]; run != nil {
 			s.remove(run)
 			result.Outcome = OutcomeDone
+			if job := s.active[id.Task.Job]; job != nil {
+				job.note(now, "%s is lost on %s: %s", id, run.Worker, drop.Reason)
+			}
 		}
 	}
 	return result
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -177,7 +177,9 @@
 	// Reason says why the job failed.
 	Reason string `json:"reason,omitempty"`
 	// Started is set by the first assignment and never cleared.
-	Started     bool         `json:"started,omitempty"`
+	Started bool `json:"started,omitempty"`
+	// Life tells what happened to the job, the oldest first.
+	Life        []JobEvent   `json:"life,omitempty"`
 	Occurrences []Occurrence `json:"occurrences"`
 
 	chainMillis int64
@@ -266,4 +268,9 @@
 	j.Phase = phase
 	j.Reason = reason
 	j.Ended = now
+	if reason != "" {
+		j.note(now, "%s: %s", phase, reason)
+		return
+	}
+	j.note(now, "%s", phase)
 }
--- /dev/null
+++ b/scheduler/life.go
@@ -0,0 +1,31 @@
+package scheduler
+
+import "fmt"
+
+// maxLife bounds the events that are kept of a job; the oldest but the first
+// go.
+const maxLife = 40
+
+// JobEvent is something that happened to a job.
+type JobEvent struct {
+	At   UnixMilli `json:"at"`
+	Text string    `json:"text"`
+}
+
+// note adds an event to a job's life.
+func (j *Job) note(now UnixMilli, format string, arguments ...any) {
+	if len(j.Life) >= maxLife {
+		j.Life = append(j.Life[:1], j.Life[2:]...)
+	}
+	j.Life = append(j.Life, JobEvent{At: now, Text: fmt.Sprintf(format, arguments...)})
+}
+
+// noteAssigned tells what was started, in one line for all runs of a step.
+func (j *Job) noteAssigned(runs []Run, now UnixMilli) {
+	first := runs[0]
+	if len(runs) == 1 {
+		j.note(now, "%s given to %s", first.ID, first.Worker)
+		return
+	}
+	j.note(now, "%d tasks of step %s given to workers, first %s to %s", len(runs), first.ID.Task.StepID(), first.ID, first.Worker)
+}
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -191,6 +191,20 @@
 	return count
 }
 
+// Used returns what the runs of a team's jobs of priority 0 hold.
+func (s *State) Used(team identifier.TeamID) Resources {
+	var used Resources
+	for id := range s.runs {
+		job := s.jobs[id.Task.Job]
+		if job == nil || job.Team != team || job.Terms.Priority != 0 {
+			continue
+		}
+		step, _, _ := job.step(id.Task)
+		used = used.Plus(step.Counted())
+	}
+	return used
+}
+
 // Statistics describes the state in numbers.
 type Statistics struct {
 	Version uint64 `json:"version"`
