--- /dev/null
+++ b/forwarder/forwarder_test.go
@@ -0,0 +1,109 @@
+package forwarder_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cranberrystack.dev/cranberrystack/forwarder"
+	"cranberrystack.dev/cranberrystack/responder"
+)
+
+var (
+	errNotSent = errors.New("not sent")
+	errSilent  = errors.New("no answer")
+)
+
+// peers answers for other instances by address.
+type peers map[string]func(ctx context.Context, call forwarder.Call) (forwarder.Answer, error)
+
+func (p peers) post(ctx context.Context, address, _ string, in, out any) error {
+	peer, known := p[address]
+	if !known {
+		return errNotSent
+	}
+	answer, err := peer(ctx, in.(forwarder.Call))
+	*out.(*forwarder.Answer) = answer
+	return err
+}
+
+func notLeader(hint string) func(context.Context, forwarder.Call) (forwarder.Answer, error) {
+	return func(context.Context, forwarder.Call) (forwarder.Answer, error) {
+		return forwarder.Answer{Code: forwarder.CodeNotLeader, Leader: hint}, nil
+	}
+}
+
+func done(context.Context, forwarder.Call) (forwarder.Answer, error) {
+	return forwarder.Answer{Code: forwarder.CodeOK}, nil
+}
+
+func silent(ctx context.Context, _ forwarder.Call) (forwarder.Answer, error) {
+	<-ctx.Done()
+	return forwarder.Answer{}, errSilent
+}
+
+func TestCalls(t *testing.T) {
+	submit := forwarder.Call{Kind: forwarder.KindSubmit}
+	state := forwarder.Call{Kind: forwarder.KindState}
+	tests := []struct {
+		name  string
+		peers peers
+		call  forwarder.Call
+		want  responder.Code
+		// within bounds the time until the answer.
+		within time.Duration
+	}{
+		{"the leader answers", peers{"a": done}, submit, forwarder.CodeOK, 0},
+		{"a follower names the leader", peers{"a": notLeader("b"), "b": done}, submit, forwarder.CodeOK, 50 * time.Millisecond},
+		{"nobody listens", peers{}, submit, responder.CodeUnavailable, 100 * time.Millisecond},
+		{"nobody leads", peers{"a": notLeader(""), "b": notLeader("")}, submit, responder.CodeUnavailable, 100 * time.Millisecond},
+		{"the leader is silent, another is found", peers{"a": silent, "b": done}, submit, forwarder.CodeOK, 700 * time.Millisecond},
+		{"an order has no answer", peers{"a": silent, "b": silent}, submit, responder.CodeOutcomeUnknown, 2 * time.Second},
+		{"a question has no answer", peers{"a": silent, "b": silent}, state, responder.CodeUnavailable, 700 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := forwarder.New(forwarder.Config{Post: test.peers.post, NotSent: errNotSent}, []string{"b", "a"})
+				ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+				defer cancel()
+				start := time.Now()
+				answer := f.Do(ctx, test.call)
+				took := time.Since(start)
+				if answer.Code != test.want || took > test.within {
+					t.Errorf("%s after %v, want %s within %v", answer.Code, took, test.want, test.within)
+				}
+				if !answer.OK() && answer.RetryAfterMillis <= 0 {
+					t.Error("the caller is not told when to come back")
+				}
+			})
+		})
+	}
+}
+
+// While the search for a leader goes on, calls are refused without any delay.
+func TestRefusedWithoutDelayWhileSearching(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		up := true
+		p := peers{"a": func(ctx context.Context, call forwarder.Call) (forwarder.Answer, error) {
+			if up {
+				return done(ctx, call)
+			}
+			return silent(ctx, call)
+		}}
+		f := forwarder.New(forwarder.Config{Post: p.post, NotSent: errNotSent}, []string{"a"})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		call := forwarder.Call{Kind: forwarder.KindState}
+		f.Do(ctx, call)
+		up = false
+		f.Do(ctx, call)
+		start := time.Now()
+		answer := f.Do(ctx, call)
+		if took := time.Since(start); answer.Code != responder.CodeUnavailable || took > 100*time.Millisecond {
+			t.Errorf("%s after %v", answer.Code, took)
+		}
+	})
+}
--- /dev/null
+++ b/logger/logger_test.go
@@ -0,0 +1,71 @@
+package logger
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// blocked is a reader of the log that has stopped.
+type blocked struct{ release chan struct{} }
+
+func (b *blocked) Write(data []byte) (int, error) {
+	<-b.release
+	return len(data), nil
+}
+
+func TestBlockedOutputCostsNoCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &blocked{release: make(chan struct{})}
+		l := New(out, Queue(10), Rate(1000))
+		start := time.Now()
+		for range 100 {
+			if err := l.Log("event", "x"); err != nil {
+				t.Error(err)
+			}
+		}
+		if took := time.Since(start); took != 0 {
+			t.Errorf("callers waited %v", took)
+		}
+		if dropped := l.Dropped(); dropped < 85 {
+			t.Errorf("%d of 100 lines counted as dropped, with room for 11", dropped)
+		}
+		l.Close()
+		close(out.release)
+	})
+}
+
+func TestVolumeIsBoundedAndSaid(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		l := New(&out, Rate(10))
+		for range 20 {
+			for range 10 {
+				_ = l.Log("event", "burst")
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		synctest.Wait()
+		l.Close()
+		written := strings.Count(out.String(), "event=burst")
+		if written > 10+2*10 || written < 15 {
+			t.Errorf("%d lines in 2 s at 10 a second and a burst of 10", written)
+		}
+		if !strings.Contains(out.String(), "event=lines-dropped") {
+			t.Error("the dropped lines are not told")
+		}
+	})
+}
+
+func TestOneLineForEachEvent(t *testing.T) {
+	var out bytes.Buffer
+	l := New(&out)
+	_ = l.Log("event", "x", "reason", "two\nlines", "error", io.EOF)
+	l.Close()
+	if lines := strings.Count(out.String(), "\n"); lines != 1 || !strings.Contains(out.String(), "error=EOF") {
+		t.Errorf("%q", out.String())
+	}
+}
--- /dev/null
+++ b/scheduler/planner_test.go
@@ -0,0 +1,316 @@
+package scheduler
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"cranberrystack.dev/cranberrystack/identifier"
+)
+
+// pool is a state with workers that were all just heard of.
+type pool struct {
+	t        *testing.T
+	state    *State
+	observer *Observer
+	planner  *Planner
+	now      time.Time
+}
+
+const testCatalog = `{"version":1,"queues":[
+{"name":"urgent","host":"h","path-prefix":"/u/","worker-pool":"p","priority":0,"max-attempts":2,"stretch":1.5,"objective-ms":300,"timeout-ms":1},
+{"name":"plan","host":"h","path-prefix":"/p/","worker-pool":"p","priority":1,"max-attempts":2,"stretch":3,"objective-ms":1000,"timeout-ms":1},
+{"name":"long","host":"h","path-prefix":"/l/","worker-pool":"p","priority":2,"max-attempts":2,"stretch":3,"objective-ms":1000,"timeout-ms":1}],
+"pools":[{"name":"p"}],"teams":[{"name":"a","keys":["k"],"guarantee":{"accelerators":16}}]}`
+
+func newPool(t *testing.T, workers int) *pool {
+	p := &pool{t: t, state: NewState(), planner: NewPlanner(), now: time.Unix(1000, 0)}
+	p.observer = NewObserver(p.now, 6*time.Second, 4*time.Second)
+	var document bytes.Buffer
+	if err := json.Compact(&document, []byte(testCatalog)); err != nil {
+		t.Fatal(err)
+	}
+	p.apply(Command{Configure: &Configure{Document: document.Bytes()}})
+	for i := range workers {
+		worker := Worker{
+			ID: identifier.WorkerID(fmt.Sprintf("w%02d", i)), Born: 1, Pool: "p", Address: fmt.Sprint("a", i),
+			Labels: []string{"a", fmt.Sprintf("r1-%d", i/4)}, State: WorkerReady,
+			Capacity: Resources{CPU: 64000, Memory: 128000, Accelerators: 8},
+		}
+		if i%2 == 0 {
+			worker.Labels = append(worker.Labels, "even")
+		}
+		p.apply(Command{Enlist: &worker})
+	}
+	p.hear()
+	return p
+}
+
+func (p *pool) wall() UnixMilli { return UnixMilli(p.now.UnixMilli()) }
+
+func (p *pool) apply(commands ...Command) []Result {
+	return p.state.ApplyBatch(Batch{Now: p.wall(), Fence: 1, Commands: commands})
+}
+
+func (p *pool) hear() {
+	for _, worker := range p.state.Workers() {
+		p.observer.Watch(worker.ID, worker.Born, p.now).Hear(WorkerMilli(p.now.UnixMilli()), p.now)
+	}
+}
+
+func (p *pool) submit(id int, queue QueueName, steps ...Step) identifier.JobID {
+	job := identifier.JobID(fmt.Sprintf("%016x", id))
+	result := p.apply(Command{Submit: &Submit{Job: job, Queue: queue, Team: "a", Request: Request{Steps: steps}}})
+	if result[0].Outcome != OutcomeDone {
+		p.t.Fatalf("submit: %+v", result[0])
+	}
+	return job
+}
+
+// plan plans once, applies the placements and lets the stopped runs end.
+func (p *pool) plan() Plan {
+	p.hear()
+	plan := p.planner.Plan(p.state, p.observer, p.now, p.wall())
+	for i := range plan.Assign {
+		if result := p.apply(Command{Assign: &plan.Assign[i]}); result[0].Outcome != OutcomeDone {
+			p.t.Errorf("placement of %s: %+v", plan.Assign[i].Runs[0].ID, result[0])
+		}
+	}
+	return plan
+}
+
+func (p *pool) endStopped(plan Plan) {
+	for _, stop := range plan.Stop {
+		p.end(stop.Run, EndStopped)
+	}
+}
+
+func (p *pool) end(id RunID, how How) {
+	run := p.state.Run(id)
+	if run == nil {
+		return
+	}
+	worker := p.state.Worker(run.Worker)
+	number := worker.Acked + 1
+	p.apply(Command{Note: &Note{Worker: run.Worker, Born: run.Born, Number: number, Ends: []End{{Number: number, Run: id, How: how}}}})
+}
+
+// check judges the placements from outside.
+func (p *pool) check() {
+	p.t.Helper()
+	groups := map[StepID]map[int]int{}
+	for _, worker := range p.state.Workers() {
+		left := worker.Capacity
+		spread := map[StepID]int{}
+		for id := range p.state.Placed(worker.ID) {
+			step := p.state.StepOf(id.Task)
+			left = left.Minus(step.Counted())
+			spread[id.Task.StepID()]++
+			if step.SpreadLimit > 0 && spread[id.Task.StepID()] > step.SpreadLimit {
+				p.t.Errorf("%d tasks of %s on %s, limit %d", spread[id.Task.StepID()], id.Task.StepID(), worker.ID, step.SpreadLimit)
+			}
+			if step.NeedsLabel != "" && !worker.Has(step.NeedsLabel) {
+				p.t.Errorf("%s on %s without %s", id, worker.ID, step.NeedsLabel)
+			}
+			if step.Gang {
+				if groups[id.Task.StepID()] == nil {
+					groups[id.Task.StepID()] = map[int]int{}
+				}
+				groups[id.Task.StepID()][id.Number]++
+			}
+		}
+		if left.CPU < 0 || left.Memory < 0 || left.Accelerators < 0 {
+			p.t.Errorf("%s is over its capacity: %+v left", worker.ID, left)
+		}
+	}
+	for id, numbers := range groups {
+		if len(numbers) > 1 {
+			p.t.Errorf("gang %s has runs of several numbers: %v", id, numbers)
+		}
+	}
+}
+
+func randomStep(random *rand.Rand) Step {
+	step := Step{
+		Width: 1 + random.IntN(12), EstimateMillis: int64(100 + random.IntN(5000)),
+		Resources: Resources{
+			CPU: int64(500 + random.IntN(30000)), Memory: int64(100 + random.IntN(60000)),
+			Accelerators: int64([]int{0, 1, 1, 2, 4, 8}[random.IntN(6)]),
+		},
+		Gang: random.IntN(3) == 0, SameRack: random.IntN(3) == 0, Checkpoints: random.IntN(2) == 0,
+	}
+	if random.IntN(4) == 0 {
+		step.NeedsLabel = "even"
+	}
+	if random.IntN(4) == 0 {
+		step.SpreadLimit = 1 + random.IntN(2)
+	}
+	if random.IntN(4) == 0 {
+		step.DataRack = fmt.Sprintf("r1-%d", random.IntN(3))
+	}
+	return step
+}
+
+// TestSeededPlans lets random jobs come, end, fail and be cancelled. No worker
+// is ever over its capacity, no gang starts in part, and what claims has none
+// but preemptible work stopped.
+func TestSeededPlans(t *testing.T) {
+	const seeds = 1500
+	for seed := range uint64(seeds) {
+		random := rand.New(rand.NewPCG(seed, seed))
+		p := newPool(t, 8)
+		for round := range 12 {
+			queue := []QueueName{"urgent", "plan", "long"}[random.IntN(3)]
+			p.submit(round+1, queue, randomStep(random))
+			plan := p.plan()
+			for _, stop := range plan.Stop {
+				job := p.state.Job(stop.Run.Task.Job)
+				if job.Active() && job.Terms.Priority == 0 && stop.Reason != "gang is not whole" {
+					t.Errorf("urgent %s is stopped: %s", stop.Run, stop.Reason)
+				}
+			}
+			p.check()
+			p.endStopped(plan)
+			for id := range p.state.runs {
+				switch random.IntN(6) {
+				case 0:
+					p.end(id, EndDone)
+				case 1:
+					p.end(id, EndFailed)
+				}
+			}
+			if random.IntN(6) == 0 {
+				p.apply(Command{Cancel: &Cancel{Job: identifier.JobID(fmt.Sprintf("%016x", 1+random.IntN(round+1)))}})
+			}
+			p.now = p.now.Add(time.Duration(random.IntN(2000)) * time.Millisecond)
+		}
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+}
+
+func tasks(width int, accelerators int64) Step {
+	return Step{Width: width, EstimateMillis: 2000, Resources: Resources{CPU: 1000, Memory: 1000, Accelerators: accelerators}}
+}
+
+func TestUrgentGangPreemptsInOneRack(t *testing.T) {
+	p := newPool(t, 8)
+	p.submit(1, "long", tasks(64, 1))
+	p.plan()
+	gang := tasks(3, 8)
+	gang.Gang, gang.SameRack = true, true
+	urgent := p.submit(2, "urgent", gang)
+	p.endStopped(p.plan())
+	p.plan()
+	racks := map[string]bool{}
+	for id, run := range p.state.runs {
+		if id.Task.Job == urgent {
+			racks[p.state.Worker(run.Worker).Rack()] = true
+		}
+	}
+	if len(racks) != 1 {
+		t.Errorf("gang runs in racks %v, want one", racks)
+	}
+	p.check()
+}
+
+func TestPreemptionStopsNoMoreThanNeeded(t *testing.T) {
+	p := newPool(t, 1)
+	p.submit(1, "long", tasks(8, 1))
+	p.plan()
+	p.submit(2, "urgent", tasks(1, 3))
+	if plan := p.plan(); len(plan.Stop) != 3 {
+		t.Errorf("%d stops, want 3", len(plan.Stop))
+	}
+}
+
+func TestCheckpointingWorkIsPreemptedFirst(t *testing.T) {
+	p := newPool(t, 1)
+	saves := tasks(4, 1)
+	saves.Checkpoints = true
+	saved := p.submit(1, "long", saves)
+	p.submit(2, "long", tasks(4, 1))
+	p.plan()
+	p.now = p.now.Add(5 * time.Second)
+	p.submit(3, "urgent", tasks(1, 4))
+	for _, stop := range p.plan().Stop {
+		if stop.Run.Task.Job != saved {
+			t.Errorf("%s is stopped, which saves nothing", stop.Run)
+		}
+	}
+}
+
+func TestDrainingWorkerGetsNothingAndIsEmptied(t *testing.T) {
+	p := newPool(t, 2)
+	p.submit(1, "long", tasks(16, 1))
+	p.plan()
+	leaving := *p.state.Worker("w00")
+	leaving.State, leaving.LeavesMillis = WorkerDraining, 1000
+	leaving.Sequence++
+	p.apply(Command{Enlist: &leaving})
+	plan := p.plan()
+	if len(plan.Stop) != 8 || len(plan.Assign) != 0 {
+		t.Errorf("%d stops and %d placements, want 8 and 0", len(plan.Stop), len(plan.Assign))
+	}
+	p.endStopped(plan)
+	p.submit(2, "urgent", tasks(1, 1))
+	for _, assign := range p.plan().Assign {
+		for _, run := range assign.Runs {
+			if run.Worker == "w00" {
+				t.Errorf("%s is given to a worker that leaves", run.ID)
+			}
+		}
+	}
+}
+
+func TestSilentWorkerGetsNothing(t *testing.T) {
+	p := newPool(t, 2)
+	p.observer.Watch("w00", 1, p.now).Misses = 1
+	p.submit(1, "long", tasks(16, 1))
+	for _, assign := range p.planner.Plan(p.state, p.observer, p.now, p.wall()).Assign {
+		for _, run := range assign.Runs {
+			if run.Worker == "w00" {
+				t.Errorf("%s is given to a silent worker", run.ID)
+			}
+		}
+	}
+}
+
+func TestPacesFollowTheTail(t *testing.T) {
+	p := newPool(t, 1)
+	serving := tasks(1, 1)
+	serving.LongRunning, serving.TargetMillis = true, 100
+	filling := tasks(1, 1)
+	filling.Fills = true
+	first := p.submit(1, "urgent", serving)
+	second := p.submit(2, "long", filling)
+	p.plan()
+	watch := p.observer.Watch("w00", 1, p.now)
+	serve := RunID{Task: TaskID{Job: first}, Number: 1}
+	fill := RunID{Task: TaskID{Job: second}, Number: 1}
+	tests := []struct {
+		tail    int64
+		current int
+		want    int
+	}{
+		{tail: 90, current: 100, want: 100},
+		{tail: 120, current: 100, want: 50},
+		{tail: 250, current: 100, want: 0},
+		{tail: 120, current: 25, want: 0},
+		{tail: 40, current: 0, want: 25},
+	}
+	for _, test := range tests {
+		watch.Note(&RunningTask{Run: serve, Percent: 100, Figure: test.tail}, p.now)
+		got := test.current
+		for _, pace := range p.state.Paces(p.observer, "w00", map[RunID]int{fill: test.current}) {
+			got = pace.Percent
+		}
+		if got != test.want {
+			t.Errorf("tail %d at %d%%: %d%%, want %d%%", test.tail, test.current, got, test.want)
+		}
+	}
+}
--- /dev/null
+++ b/scheduler/state_test.go
@@ -0,0 +1,197 @@
+package scheduler
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestParseCatalog(t *testing.T) {
+	tests := []struct {
+		name, document string
+		bad            bool
+	}{
+		{"whole", testCatalog, false},
+		{"unknown fields", `{"version":1,"queues":[],"pools":[],"limits":{"x":1}}`, false},
+		{"cut short", testCatalog[:len(testCatalog)-4], true},
+		{"text behind", testCatalog + "x", true},
+		{"no version", `{"queues":[],"pools":[]}`, true},
+		{"version of another type", `{"version":"1","queues":[],"pools":[]}`, true},
+		{"no queues", `{"version":1,"pools":[]}`, true},
+		{"unknown pool", `{"version":1,"pools":[],"queues":[{"name":"q","worker-pool":"p","timeout-ms":1}]}`, true},
+		{"no time-out", `{"version":1,"pools":[{"name":"p"}],"queues":[{"name":"q","worker-pool":"p","timeout-ms":0}]}`, true},
+		{"same address", `{"version":1,"pools":[{"name":"p"}],"queues":[
+			{"name":"q","host":"h","path-prefix":"/a/","worker-pool":"p","timeout-ms":1},
+			{"name":"r","host":"H","path-prefix":"/a/","worker-pool":"p","timeout-ms":1}]}`, true},
+		{"shared key", `{"version":1,"queues":[],"pools":[],"teams":[{"name":"a","keys":["k"]},{"name":"b","keys":["k"]}]}`, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := ParseCatalog([]byte(test.document))
+			if bad := errors.Is(err, ErrBadCatalog); bad != test.bad {
+				t.Errorf("error %v, want one: %t", err, test.bad)
+			}
+		})
+	}
+}
+
+func TestLongestPrefixIsFound(t *testing.T) {
+	catalog := Catalog{Queues: []Queue{
+		{Name: "short", Host: "h", PathPrefix: "/a/"}, {Name: "deep", Host: "h", PathPrefix: "/a/b/"}, {Name: "other", Host: "i", PathPrefix: "/"},
+	}}
+	tests := []struct {
+		host, path string
+		want       QueueName
+		rest       string
+	}{
+		{"h", "/a/1", "short", "1"}, {"h:80", "/a/b/1", "deep", "1"}, {"H", "/a/", "short", ""},
+		{"i", "/a/1", "other", "a/1"}, {"h", "/c/1", "", ""}, {"j", "/a/1", "", ""},
+	}
+	for _, test := range tests {
+		queue, rest := catalog.Find(test.host, test.path)
+		name := QueueName("")
+		if queue != nil {
+			name = queue.Name
+		}
+		if name != test.want || rest != test.rest {
+			t.Errorf("%s%s: %q %q, want %q %q", test.host, test.path, name, rest, test.want, test.rest)
+		}
+	}
+}
+
+func TestSnapshotRestoresTheState(t *testing.T) {
+	p := newPool(t, 4)
+	second := tasks(2, 1)
+	second.DependsOn = []int{0}
+	p.submit(1, "long", tasks(6, 2), second)
+	p.submit(2, "urgent", tasks(1, 8))
+	p.plan()
+	p.end(RunID{Task: TaskID{Job: "0000000000000001"}, Number: 1}, EndDone)
+	p.apply(Command{Wave: &Wave{ID: 3, Cap: 1, Machines: []MachineUpkeep{{Machine: "m"}}}})
+	data, err := p.state.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := NewState()
+	if err := restored.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(p.state, restored, cmp.AllowUnexported(State{}, Job{})); diff != "" {
+		t.Errorf("restored state differs:\n%s", diff)
+	}
+}
+
+// An earlier life, a stale report and a report of an address that another
+// life has taken change nothing.
+func TestEnlist(t *testing.T) {
+	base := Worker{ID: "w", Born: 100, Sequence: 5, Address: "a", Machine: "m", State: WorkerReady}
+	change := func(edit func(*Worker)) Worker {
+		worker := base
+		edit(&worker)
+		return worker
+	}
+	tests := []struct {
+		name   string
+		worker Worker
+		want   Outcome
+	}{
+		{"newer report", change(func(w *Worker) { w.Sequence, w.State = 6, WorkerDraining }), OutcomeDone},
+		{"older report", change(func(w *Worker) { w.Sequence = 4 }), OutcomeStale},
+		{"earlier life", change(func(w *Worker) { w.Born, w.Sequence = 99, 9 }), OutcomeStale},
+		{"next life", change(func(w *Worker) { w.Born, w.Sequence = 101, 1 }), OutcomeDone},
+		{"earlier life at the address", change(func(w *Worker) { w.ID, w.Machine, w.Born = "v", "n", 99 }), OutcomeStale},
+		{"next life on the machine", change(func(w *Worker) { w.ID, w.Address, w.Born = "v", "b", 101 }), OutcomeDone},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := NewState()
+			worker := test.worker
+			results := s.ApplyBatch(Batch{Commands: []Command{{Enlist: &base}, {Enlist: &worker}}})
+			if results[1].Outcome != test.want {
+				t.Errorf("%s, want %s", results[1].Outcome, test.want)
+			}
+		})
+	}
+}
+
+func TestGone(t *testing.T) {
+	at := time.Unix(1000, 0)
+	later := at.Add(time.Second)
+	tests := []struct {
+		name string
+		run  Run
+		try  *Try
+		look Look
+		want bool
+	}{
+		{"assigned by an earlier leader", Run{Fence: 1, Born: 1}, nil, Look{Sent: at, Born: 1}, true},
+		{"not sent yet", Run{Fence: 2, Born: 1}, nil, Look{Sent: at, Born: 1}, false},
+		{"start under way", Run{Fence: 2, Born: 1}, &Try{Calling: 1}, Look{Sent: at, Born: 1}, false},
+		{"started after the question", Run{Fence: 2, Born: 1}, &Try{Started: later}, Look{Sent: at, Born: 1}, false},
+		{"started before the question", Run{Fence: 2, Born: 1}, &Try{Started: at}, Look{Sent: later, Born: 1}, true},
+		{"start open, not past its deadline", Run{Fence: 2, Born: 1}, &Try{Unanswered: true, Deadline: 50}, Look{Sent: later, Born: 1, Clock: 50}, false},
+		{"start open, past its deadline", Run{Fence: 2, Born: 1}, &Try{Unanswered: true, Deadline: 50}, Look{Sent: later, Born: 1, Clock: 51}, true},
+		{"start open, blocked", Run{Fence: 2, Born: 1}, &Try{Unanswered: true, Deadline: 50, Stopped: at}, Look{Sent: later, Born: 1}, true},
+		{"start open, next life", Run{Fence: 2, Born: 1}, &Try{Unanswered: true, Deadline: 5}, Look{Sent: later, Born: 2, Clock: 9}, false},
+		{"started, next life", Run{Fence: 2, Born: 1}, &Try{Started: later}, Look{Sent: at, Born: 2}, true},
+		{"refused as old", Run{Fence: 2, Born: 1}, &Try{Refused: at}, Look{Sent: later, Born: 1}, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if got := Gone(&test.run, test.try, &test.look, 2); got != test.want {
+				t.Errorf("gone %t, want %t", got, test.want)
+			}
+		})
+	}
+}
+
+func TestLeasesLapseOnlyWhenCertain(t *testing.T) {
+	start := time.Unix(1000, 0)
+	o := NewObserver(start, 6*time.Second, 4*time.Second)
+	watch := o.Watch("w", 1, start)
+	watch.Hear(1000, start)
+	watch.Prolong(5*time.Second, start.Add(4*time.Second))
+	tests := []struct {
+		after time.Duration
+		want  bool
+	}{
+		{6 * time.Second, false}, {9 * time.Second, false}, {9300 * time.Millisecond, false}, {9500 * time.Millisecond, true},
+	}
+	for _, test := range tests {
+		if got := o.Lapsed("w", start.Add(test.after)); got != test.want {
+			t.Errorf("after %v: lapsed %t, want %t", test.after, got, test.want)
+		}
+	}
+	o.Watch("w", 2, start.Add(20*time.Second))
+	if o.Lapsed("w", start.Add(21*time.Second)) {
+		t.Error("the leases of a new life lapse at once")
+	}
+}
+
+func FuzzParseCatalog(f *testing.F) {
+	f.Add([]byte(testCatalog))
+	f.Add([]byte(`{"version":1}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		catalog, err := ParseCatalog(data)
+		if err == nil && catalog.Version == 0 {
+			t.Error("version 0 was taken")
+		}
+	})
+}
+
+func FuzzParseTaskID(f *testing.F) {
+	f.Add("5c0e7a21d94b36f8.0.1.17")
+	f.Add("a.b.c.d")
+	f.Fuzz(func(t *testing.T, text string) {
+		id, err := ParseTaskID(text)
+		if err != nil {
+			return
+		}
+		again, err := ParseTaskID(id.String())
+		if err != nil || again != id {
+			t.Errorf("%q reads as %v, then as %v (%v)", text, id, again, err)
+		}
+	})
+}
