Scenarios of upkeep waves, advice, timed and lasting jobs, explain

Against stand-ins in virtual time: a wave with lost answers and a lost leader, tickets that expire, a dead worker of a lasting task.

--- a/coordinator/cluster_test.go
+++ b/coordinator/cluster_test.go
@@ -42,6 +42,9 @@
 	hosts []*host
 	seeds []string
 	stop  context.CancelFunc
+	// advise and machines stand for the surroundings; they may be nil.
+	advise   coordinator.Advise
+	machines coordinator.Machines
 
 	mu      sync.Mutex
 	down    map[string]bool
@@ -55,6 +58,7 @@
 type workerState struct {
 	worker *faker.TaskWorker
 	state  scheduler.WorkerState
+	dead   bool
 }
 
 type host struct {
@@ -66,7 +70,7 @@
 	starts      int
 }
 
-func newCluster(t *testing.T, seed uint64, size int) *cluster {
+func newCluster(t *testing.T, seed uint64, size int, setup func(*cluster)) *cluster {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &cluster{
@@ -80,6 +84,9 @@
 			c.seeds = append(c.seeds, name)
 		}
 	}
+	if setup != nil {
+		setup(c)
+	}
 	for _, h := range c.hosts {
 		h.start(true)
 	}
@@ -108,7 +115,7 @@
 		ID: identifier.InstanceID(h.name), Dir: h.dir, Address: h.name, ReportTo: h.name,
 		Seeds: c.seeds, Bootstrap: bootstrap, Voters: 3,
 		Transport: replicator.Transport{Send: h.send, Formation: h.formation},
-		Announce:  h.announce, Orders: c.world.Orders(h.name),
+		Announce:  h.announce, Orders: c.world.Orders(h.name), Advise: c.advise, Machines: c.machines,
 		Recorder: recorder.New(), Logger: log.With(log.NewLogfmtLogger(log.NewSyncWriter(&lockedWriter{c: c})), "at", log.Valuer(func() any { return time.Since(c.began).Milliseconds() }), "host", h.name),
 	}, coordinator.Log(
 		replicator.HeartbeatInterval(120*time.Millisecond), replicator.ElectionTimeout(700*time.Millisecond),
@@ -238,6 +245,16 @@
 	return worker
 }
 
+// kill ends a worker, which then sends no more reports.
+func (c *cluster) kill(id identifier.WorkerID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if state := c.workers[id]; state != nil {
+		state.worker.Kill()
+		state.dead = true
+	}
+}
+
 // addWorkers adds equal workers, four to a rack.
 func (c *cluster) addWorkers(count int) []identifier.WorkerID {
 	var ids []identifier.WorkerID
@@ -258,6 +275,7 @@
 	Born       int64               `json:"born"`
 	Clock      int64               `json:"clock-ms"`
 	Remaining  int64               `json:"remaining-ms,omitempty"`
+	Machine    string              `json:"machine"`
 	Labels     []string            `json:"labels"`
 	Capacity   scheduler.Resources `json:"capacity"`
 }
@@ -269,6 +287,9 @@
 	for {
 		c.mu.Lock()
 		for id, state := range c.workers {
+			if state.dead {
+				continue
+			}
 			go c.report(ctx, id, state.worker, state.state)
 		}
 		c.mu.Unlock()
@@ -284,7 +305,7 @@
 	sequence, clock := worker.Report()
 	data, err := json.Marshal(reportBody{
 		Pool: "pool", Address: string(id), DataCenter: "dc", State: string(state), Sequence: sequence,
-		Born: int64(worker.Born), Clock: int64(clock), Remaining: 10000, Labels: worker.Labels, Capacity: worker.Capacity,
+		Born: int64(worker.Born), Clock: int64(clock), Remaining: 10000, Machine: "m-" + string(id), Labels: worker.Labels, Capacity: worker.Capacity,
 	})
 	if err != nil {
 		c.t.Error(err)
@@ -438,9 +459,15 @@
 
 // inCluster runs a test in virtual time.
 func inCluster(t *testing.T, seed uint64, size, workers int, test func(c *cluster)) {
+	t.Helper()
+	inClusterWith(t, seed, size, workers, nil, test)
+}
+
+// inClusterWith does the same with surroundings set up first.
+func inClusterWith(t *testing.T, seed uint64, size, workers int, setup, test func(c *cluster)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, seed, size)
+		c := newCluster(t, seed, size, setup)
 		defer c.close()
 		c.addWorkers(workers)
 		c.configure(1, 3)
--- /dev/null
+++ b/coordinator/surroundings_test.go
@@ -0,0 +1,222 @@
+package coordinator_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cranberrystack.dev/cranberrystack/coordinator"
+	"cranberrystack.dev/cranberrystack/forwarder"
+	"cranberrystack.dev/cranberrystack/identifier"
+	"cranberrystack.dev/cranberrystack/scheduler"
+)
+
+// keeper stands for the keeper of the machines: it takes a worker down for
+// its upkeep and starts it again.
+type keeper struct {
+	c      *cluster
+	upkeep time.Duration
+
+	mu   sync.Mutex
+	down map[identifier.WorkerID]bool
+	had  map[scheduler.MachineID]int
+	// most is the largest number of machines that were down at once.
+	most int
+	// loseAnswers counts the next orders that are carried out without answer.
+	loseAnswers int
+	killed      []scheduler.RunID
+}
+
+func (k *keeper) list(context.Context) ([]coordinator.Machine, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var machines []coordinator.Machine
+	k.c.mu.Lock()
+	defer k.c.mu.Unlock()
+	for id := range k.c.workers {
+		machine := coordinator.Machine{ID: scheduler.MachineID("m-" + string(id)), Pool: "pool", State: coordinator.MachineUp, Worker: id}
+		if k.down[id] {
+			machine.State, machine.Worker = coordinator.MachineUpkeep, ""
+		}
+		machines = append(machines, machine)
+	}
+	return machines, nil
+}
+
+func (k *keeper) order(_ context.Context, machine scheduler.MachineID, _ scheduler.WaveID, _ scheduler.Fence) (coordinator.UpkeepAnswer, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	id := identifier.WorkerID(strings.TrimPrefix(string(machine), "m-"))
+	if k.had[machine] == 0 {
+		k.had[machine]++
+		k.down[id] = true
+		k.most = max(k.most, len(k.down))
+		for _, run := range k.c.world.Running() {
+			if worker := k.c.world.WorkerOf(run); worker == id {
+				k.killed = append(k.killed, run)
+			}
+		}
+		k.c.kill(id)
+		time.AfterFunc(k.upkeep, func() {
+			k.mu.Lock()
+			defer k.mu.Unlock()
+			delete(k.down, id)
+			k.c.addWorker(id, scheduler.Resources{CPU: 64000, Memory: 128000, Accelerators: 8}, "r1-0")
+		})
+	}
+	if k.loseAnswers > 0 {
+		k.loseAnswers--
+		return "", errCut
+	}
+	return coordinator.UpkeepAccepted, nil
+}
+
+func newKeeper(c *cluster) *keeper {
+	k := &keeper{c: c, upkeep: 2 * time.Second, down: map[identifier.WorkerID]bool{}, had: map[scheduler.MachineID]int{}}
+	c.machines = coordinator.Machines{List: k.list, Upkeep: k.order}
+	return k
+}
+
+func waveCall(wave int, cap int, seconds int, machines ...string) forwarder.Call {
+	document := fmt.Sprintf(`{"wave":%d,"machines":["%s"],"duration-s":%d,"cap":%d}`, wave, strings.Join(machines, `","`), seconds, cap)
+	return forwarder.Call{Kind: forwarder.KindStartWave, Document: json.RawMessage(document)}
+}
+
+func (c *cluster) waveState(wave int64) string {
+	answer := c.call(context.Background(), forwarder.Call{Kind: forwarder.KindWaveProgress, Wave: wave})
+	return string(answer.Document)
+}
+
+// A wave takes every machine down once, no more than its cap at a time, stops
+// what runs there before, and also when answers and leaders are lost.
+func TestWaveOfUpkeep(t *testing.T) {
+	tests := []struct {
+		name        string
+		loseAnswers int
+		killLeader  bool
+	}{{"calm", 0, false}, {"answers lost", 2, false}, {"leader lost", 0, true}}
+	for i, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var k *keeper
+			setup := func(c *cluster) {
+				k = newKeeper(c)
+				k.loseAnswers = test.loseAnswers
+			}
+			inClusterWith(t, uint64(40+i), 4, 4, setup, func(c *cluster) {
+				saving := step(8, 6000, 2)
+				saving.Checkpoints = true
+				c.submit("long", jobID(1), scheduler.Request{Spec: "s", Steps: []scheduler.Step{saving}})
+				time.Sleep(time.Second)
+				c.until(waveCall(1, 1, 30, "m-w-00", "m-w-01", "m-w-02"), 2*time.Second)
+				c.until(waveCall(1, 1, 30, "m-w-00", "m-w-01", "m-w-02"), 2*time.Second)
+				if test.killLeader {
+					time.Sleep(time.Second)
+					leader := c.waitForLeader(3 * time.Second)
+					leader.crash()
+					time.Sleep(3 * time.Second)
+					leader.start(false)
+				}
+				start := time.Now()
+				for c.waveState(1) != `{"state":"completed"}` {
+					if time.Since(start) > 30*time.Second {
+						t.Fatalf("wave is %s, machines %v", c.waveState(1), k.had)
+					}
+					time.Sleep(200 * time.Millisecond)
+				}
+				if len(k.had) != 3 || k.most > 1 || len(k.killed) > 0 {
+					t.Errorf("machines %v, %d down at once, cut off: %v", k.had, k.most, k.killed)
+				}
+				c.waitFor("long", jobID(1), "completed", 40*time.Second)
+			})
+		})
+	}
+}
+
+// A queue with advice starts tasks only on workers that are allowed, with
+// their tickets, and asks again when those have expired.
+func TestAdviceChoosesTheWorkers(t *testing.T) {
+	asked := 0
+	setup := func(c *cluster) {
+		c.advise = func(_ context.Context, _ scheduler.StepID, workers []identifier.WorkerID) (coordinator.Advised, error) {
+			asked++
+			time.Sleep(300 * time.Millisecond)
+			return coordinator.Advised{ValidMillis: 1000, Allowed: []coordinator.AllowedWorker{{Worker: "w-01", Ticket: "t"}}}, nil
+		}
+	}
+	inClusterWith(t, 50, 4, 4, setup, func(c *cluster) {
+		document := strings.Replace(fmt.Sprintf(catalogText, 2, 3, 3), `"objective-ms":1000`, `"objective-ms":1000,"advice":{"decide-ms":100,"period-ms":5,"valid-ms":1000}`, 1)
+		c.until(forwarder.Call{Kind: forwarder.KindConfigure, Document: json.RawMessage(document)}, 5*time.Second)
+		c.submit("long", jobID(1), scheduler.Request{Spec: "s", Steps: []scheduler.Step{step(4, 1500, 4)}})
+		c.waitFor("long", jobID(1), "completed", 15*time.Second)
+		for _, event := range c.world.History() {
+			if event.Worker != "w-01" {
+				t.Errorf("%s on %s, which is not allowed", event.Run, event.Worker)
+			}
+		}
+		if asked < 2 {
+			t.Errorf("asked %d times, with tickets that expire between the tasks", asked)
+		}
+	})
+}
+
+// Timed jobs begin when they are due, and tasks that last are started again
+// however they end.
+func TestTimedAndLongRunningJobs(t *testing.T) {
+	inCluster(t, 51, 4, 4, func(c *cluster) {
+		due := time.Now().Add(2 * time.Second)
+		c.submit("long", jobID(1), scheduler.Request{
+			Spec: "s", Steps: []scheduler.Step{step(1, 300, 1)}, StartAt: scheduler.UnixMilli(due.UnixMilli()), Repeat: 3, IntervalMillis: 1000,
+		})
+		lasting := step(2, 0, 1)
+		lasting.LongRunning = true
+		c.submit("long", jobID(2), scheduler.Request{Spec: "s", Steps: []scheduler.Step{lasting}})
+		time.Sleep(time.Second)
+		c.kill(c.world.WorkerOf(scheduler.RunID{Task: scheduler.TaskID{Job: jobID(2)}, Number: 1}))
+		c.waitFor("long", jobID(1), "completed", 20*time.Second)
+		time.Sleep(10 * time.Second)
+		alive := 0
+		for _, run := range c.world.Running() {
+			if run.Task.Job == jobID(2) {
+				alive++
+			}
+		}
+		if alive != 2 {
+			t.Errorf("%d of 2 lasting tasks run", alive)
+		}
+		for _, event := range c.world.History() {
+			if event.Run.Task.Job != jobID(1) || event.How != "" {
+				continue
+			}
+			wanted := due.Add(time.Duration(event.Run.Task.Occurrence) * time.Second)
+			if early := wanted.Sub(event.At); early > 250*time.Millisecond {
+				t.Errorf("occurrence %d starts %v before it is due", event.Run.Task.Occurrence, early)
+			}
+		}
+		c.until(forwarder.Call{Kind: forwarder.KindCancel, Host: "h", Path: "/long/" + string(jobID(2)), Key: teamKey}, time.Second)
+		time.Sleep(time.Second)
+	})
+}
+
+// The life of a job can be asked for at any instance.
+func TestExplainTellsWhatHappened(t *testing.T) {
+	inCluster(t, 52, 4, 1, func(c *cluster) {
+		c.submit("long", jobID(1), scheduler.Request{Spec: "s", Steps: []scheduler.Step{step(1, 60000, 8)}})
+		time.Sleep(time.Second)
+		c.submit("urgent", jobID(2), scheduler.Request{Spec: "s", Steps: []scheduler.Step{step(1, 500, 8)}})
+		c.waitFor("urgent", jobID(2), "completed", 5*time.Second)
+		answer := c.until(forwarder.Call{Kind: forwarder.KindExplain, Path: string(jobID(1))}, time.Second)
+		for _, wanted := range []string{"accepted in queue long", "given to w-00", "preempted for " + string(jobID(2)), "ended on w-00: stopped"} {
+			if !strings.Contains(string(answer.Document), wanted) {
+				t.Errorf("%q is not told: %s", wanted, answer.Document)
+			}
+		}
+		overview := c.until(forwarder.Call{Kind: forwarder.KindOverview}, time.Second)
+		if !strings.Contains(string(overview.Document), `"guaranteed-accelerators":16`) {
+			t.Errorf("overview %s", overview.Document)
+		}
+	})
+}
--- a/faker/tasks.go
+++ b/faker/tasks.go
@@ -124,6 +124,18 @@
 	return alive
 }
 
+// WorkerOf returns where a run is alive, empty if nowhere.
+func (w *TaskWorld) WorkerOf(run scheduler.RunID) identifier.WorkerID {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, worker := range w.workers {
+		if worker.running[run] != nil {
+			return id
+		}
+	}
+	return ""
+}
+
 // TaskWorker is a stand-in worker that runs tasks under leases on its own
 // clock.
 type TaskWorker struct {
