A dead worker's leases end; a wiped store finds a leader that is no seed

TestDeadWorkersTaskRunsElsewhere, TestTimedAndLongRunningJobs: each look at a worker that did not answer prolonged its lease on paper, so its tasks never ran elsewhere. A look after a miss asks without a lease. 2. Now who leads comes back with the announcement. 3. Announcements outlived their process (a goroutine left in the bubble). Ruled out for 2: a log that had failed (it now says so: log-ended), and votes given twice.

--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -85,7 +85,11 @@
 		order.Acked, order.SameLife = worker.Acked, worker.Acked > 0
 	}
 	if watch.Clocked() && len(c.state.Placed(id)) > 0 {
-		order.Deadline = watch.Prolong(c.options.maxLease-leaseReserve, now)
+		if watch.Misses == 0 {
+			// A worker that does not answer might take each question's lease and
+			// so keep its runs for ever.
+			order.Deadline = watch.Prolong(c.options.maxLease-leaseReserve, now)
+		}
 		order.WaitMillis = c.lookWait(watch, id).Milliseconds()
 	}
 	if !verified {
--- a/coordinator/cluster_test.go
+++ b/coordinator/cluster_test.go
@@ -196,13 +196,12 @@
 	return target.Node().Formation(), nil
 }
 
-func (h *host) announce(ctx context.Context, address string, peer replicator.Peer) error {
+func (h *host) announce(ctx context.Context, address string, peer replicator.Peer) (forwarder.Status, error) {
 	target, err := h.reach(ctx, address)
 	if err != nil {
-		return err
+		return forwarder.Status{}, err
 	}
-	target.HandleAnnouncement(peer)
-	return nil
+	return target.HandleAnnouncement(peer), nil
 }
 
 func (h *host) post(ctx context.Context, address, _ string, in, out any) error {
@@ -245,6 +244,12 @@
 	return worker
 }
 
+// say adds a line to the log of events.
+func (c *cluster) say(event string, pairs ...any) {
+	line := append([]any{"at", time.Since(c.began).Milliseconds(), "event", event}, pairs...)
+	_ = log.NewLogfmtLogger(&lockedWriter{c: c}).Log(line...)
+}
+
 // kill ends a worker, which then sends no more reports.
 func (c *cluster) kill(id identifier.WorkerID) {
 	c.mu.Lock()
@@ -469,23 +474,31 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, seed, size, setup)
 		defer c.close()
+		defer c.keepLog(seed)
 		c.addWorkers(workers)
 		c.configure(1, 3)
 		time.Sleep(2 * reportEvery)
 		test(c)
 		c.checkHistory()
-		if t.Failed() {
-			for _, event := range c.world.History() {
-				fmt.Fprintf(&c.logs, "at=%d seen run=%s worker=%s how=%q noted=%t fence=%d\n", event.At.Sub(c.began).Milliseconds(),
-					event.Run, event.Worker, event.How, event.Noted, event.Fence)
-			}
-			path := filepath.Join(os.TempDir(), fmt.Sprintf("cranberrystack-%d.log", seed))
-			_ = os.WriteFile(path, c.logs.Bytes(), 0o600)
-			t.Logf("log of events in %s", path)
-		}
 	})
 }
 
+// keepLog writes what happened to a file if the test has failed.
+func (c *cluster) keepLog(seed uint64) {
+	if !c.t.Failed() {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, event := range c.world.History() {
+		fmt.Fprintf(&c.logs, "at=%d seen run=%s worker=%s how=%q noted=%t fence=%d\n", event.At.Sub(c.began).Milliseconds(),
+			event.Run, event.Worker, event.How, event.Noted, event.Fence)
+	}
+	path := filepath.Join(os.TempDir(), fmt.Sprintf("cranberrystack-%d.log", seed))
+	_ = os.WriteFile(path, c.logs.Bytes(), 0o600)
+	c.t.Logf("log of events in %s", path)
+}
+
 func step(width int, millis int64, accelerators int64) scheduler.Step {
 	return scheduler.Step{
 		Width: width, EstimateMillis: millis,
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -36,12 +36,17 @@
 	Orders    Orders
 	Advise    Advise
 	Machines  Machines
-	// Announce asks an instance to take this one into the log.
-	Announce func(ctx context.Context, address string, peer replicator.Peer) error
+	// Announce asks an instance to take this one into the log, and returns who
+	// leads as that one knows it.
+	Announce Announce
 	Recorder *recorder.Recorder
 	Logger   log.Logger
 }
 
+// Announce tells the instance at an address of an instance that asks to hold
+// the log.
+type Announce func(ctx context.Context, address string, peer replicator.Peer) (forwarder.Status, error)
+
 // Coordinator is one instance that holds the log. It is safe for concurrent
 // use. Lock order: mu of the coordinator, then locks of the recorder.
 type Coordinator struct {
@@ -49,6 +54,8 @@
 	options options
 	node    *replicator.Node
 	wake    chan struct{}
+	// running ends when the coordinator stops.
+	running context.Context
 	stop    context.CancelFunc
 	done    sync.WaitGroup
 
@@ -104,7 +111,7 @@
 	}
 	c.node = node
 	ctx, cancel := context.WithCancel(context.Background())
-	c.stop = cancel
+	c.running, c.stop = ctx, cancel
 	c.done.Add(2)
 	go c.run(ctx)
 	go c.propose(ctx)
@@ -184,6 +191,7 @@
 		case <-ctx.Done():
 			return
 		case <-c.node.Done():
+			c.event("log-ended", "error", c.node.Failure())
 			return
 		case <-c.wake:
 		case <-timer.C:
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -4,16 +4,22 @@
 	"context"
 	"time"
 
+	"cranberrystack.dev/cranberrystack/forwarder"
 	"cranberrystack.dev/cranberrystack/replicator"
 )
 
 const changeTimeout = 2 * time.Second
 
-// HandleAnnouncement notes an instance that asks to hold the log.
-func (c *Coordinator) HandleAnnouncement(peer replicator.Peer) {
+// HandleAnnouncement notes an instance that asks to hold the log, and returns
+// who leads.
+func (c *Coordinator) HandleAnnouncement(peer replicator.Peer) forwarder.Status {
+	c.noteAnnouncement(peer, time.Now())
+	return c.Status()
+}
+
+func (c *Coordinator) noteAnnouncement(peer replicator.Peer, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := time.Now()
 	for i := range c.members {
 		if c.members[i].Peer.ID == peer.ID {
 			c.members[i] = replicator.Announcement{Peer: peer, At: now}
@@ -40,14 +46,26 @@
 		return
 	}
 	for _, address := range c.known(view) {
+		c.done.Add(1)
 		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), announceInterval)
-			defer cancel()
-			_ = c.config.Announce(ctx, address, own)
+			defer c.done.Done()
+			c.announceTo(address, own)
 		}()
 	}
 }
 
+// announceTo tells one instance, and then the leader that it names, which
+// need not be among those that are known here.
+func (c *Coordinator) announceTo(address string, own replicator.Peer) {
+	ctx, cancel := context.WithTimeout(c.running, announceInterval)
+	defer cancel()
+	status, err := c.config.Announce(ctx, address, own)
+	if err != nil || status.Leader == "" || status.Leader == address || status.Leader == own.Address {
+		return
+	}
+	_, _ = c.config.Announce(ctx, status.Leader, own)
+}
+
 func holds(membership replicator.Membership, peer replicator.Peer) bool {
 	for _, member := range append(append([]replicator.Peer(nil), membership.Voters...), membership.Learners...) {
 		if member == peer {
@@ -95,8 +113,10 @@
 	c.changing = true
 	c.event("membership-change", "kind", change.Kind, "peer", change.Peer.ID, "address", change.Peer.Address,
 		"voters", len(view.Membership.Voters), "learners", len(view.Membership.Learners), "term", view.Term)
+	c.done.Add(1)
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), changeTimeout)
+		defer c.done.Done()
+		ctx, cancel := context.WithTimeout(c.running, changeTimeout)
 		defer cancel()
 		err := c.node.Change(ctx, change)
 		c.event("membership-changed", "kind", change.Kind, "peer", change.Peer.ID, "error", err)
--- a/coordinator/routes.go
+++ b/coordinator/routes.go
@@ -27,8 +27,7 @@
 	routes.POST(announcementsPath, func(g *gin.Context) {
 		var peer replicator.Peer
 		if responder.Decode(g, messenger.MaxMessageBytes, &peer) {
-			c.HandleAnnouncement(peer)
-			g.Status(http.StatusNoContent)
+			g.JSON(http.StatusOK, c.HandleAnnouncement(peer))
 		}
 	})
 	routes.GET(forwarder.StatusPath, func(g *gin.Context) { g.JSON(http.StatusOK, c.Status()) })
@@ -74,9 +73,11 @@
 	}
 }
 
-// Announce returns a function that announces an instance by a messenger.
-func Announce(m *messenger.Messenger) func(ctx context.Context, address string, peer replicator.Peer) error {
-	return func(ctx context.Context, address string, peer replicator.Peer) error {
-		return m.Post(ctx, address, announcementsPath, peer, nil)
+// AnnounceBy returns a function that announces an instance by a messenger.
+func AnnounceBy(m *messenger.Messenger) Announce {
+	return func(ctx context.Context, address string, peer replicator.Peer) (forwarder.Status, error) {
+		var status forwarder.Status
+		err := m.Post(ctx, address, announcementsPath, peer, &status)
+		return status, err
 	}
 }
--- a/coordinator/scenario_test.go
+++ b/coordinator/scenario_test.go
@@ -127,6 +127,17 @@
 	})
 }
 
+// A worker that dies without a word: its task runs elsewhere once its lease
+// has certainly ended, though the leader goes on asking.
+func TestDeadWorkersTaskRunsElsewhere(t *testing.T) {
+	inCluster(t, 30, 4, 2, func(c *cluster) {
+		c.submit("long", jobID(1), scheduler.Request{Spec: "s", Steps: []scheduler.Step{step(1, 3000, 8)}})
+		time.Sleep(time.Second)
+		c.kill(c.world.History()[0].Worker)
+		c.waitFor("long", jobID(1), "completed", 12*time.Second)
+	})
+}
+
 // All stores lose power right after a job was taken: it is still known.
 func TestAllStoresDarkAfterAJobWasTaken(t *testing.T) {
 	inCluster(t, 21, 4, 4, func(c *cluster) {
@@ -188,6 +199,36 @@
 	})
 }
 
+// The leader is none of the seeds: a store that has lost its disk knows only
+// seeds, and still is taken in.
+func TestWipedStoreFindsALeaderThatIsNoSeed(t *testing.T) {
+	inCluster(t, 31, 4, 2, func(c *cluster) {
+		last := c.hosts[3]
+		for range 20 {
+			leader := c.waitForLeader(10 * time.Second)
+			if leader == last {
+				break
+			}
+			leader.crash()
+			time.Sleep(4 * time.Second)
+			leader.start(false)
+			time.Sleep(3 * time.Second)
+		}
+		if leader := c.waitForLeader(10 * time.Second); leader != last {
+			t.Fatalf("%s leads, no course to %s was found", leader.name, last.name)
+		}
+		wiped := c.hosts[0]
+		wiped.crash()
+		wiped.wipe()
+		wiped.start(false)
+		time.Sleep(6 * time.Second)
+		view := last.coordinator.Node().Leadership()
+		if total := len(view.Membership.Voters) + len(view.Membership.Learners); total != 4 || len(view.Membership.Voters) != 3 {
+			t.Errorf("%d members, %d voters, want 4 and 3", total, len(view.Membership.Voters))
+		}
+	})
+}
+
 // A minority misses changes, one of the majority loses its disk and the rest
 // are dark: the stale one and the empty one decide nothing.
 func TestStaleAndEmptyStoreDecideNothing(t *testing.T) {
--- a/coordinator/schedules_test.go
+++ b/coordinator/schedules_test.go
@@ -106,7 +106,9 @@
 		}
 	}
 	span := time.Duration(200+s.random.IntN(5000)) * time.Millisecond
-	switch s.random.IntN(8) {
+	kind := s.random.IntN(8)
+	c.say("trouble", "kind", kind, "on", h.name, "span-ms", span.Milliseconds())
+	switch kind {
 	case 0:
 		h.crash()
 		time.Sleep(span)
--- a/cranberryd/node/coordination.go
+++ b/cranberryd/node/coordination.go
@@ -37,7 +37,7 @@
 		Address: settings.Address, ReportTo: settings.Listen.Control,
 		Seeds: settings.SeedAddresses(), Bootstrap: settings.Bootstrap,
 		Voters:    2*settings.Control.ToleratedLosses + 1,
-		Transport: coordinator.Transport(p.messenger), Announce: coordinator.Announce(p.messenger),
+		Transport: coordinator.Transport(p.messenger), Announce: coordinator.AnnounceBy(p.messenger),
 		Orders: client.Orders(), Advise: client.Advise(settings.Advice),
 		Machines: client.Machines(settings.Machines, settings.Instance),
 		Recorder: p.recorder, Logger: p.logger,
