--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -94,8 +94,13 @@
 			continue
 		}
 		drop := &scheduler.Drop{Reason: "leases have ended"}
-		for id := range placed {
-			drop.Runs = append(drop.Runs, id)
+		for id, run := range placed {
+			if !scheduler.MayStartLate(run, worker, lead.tries[id], wall()) {
+				drop.Runs = append(drop.Runs, id)
+			}
+		}
+		if len(drop.Runs) == 0 {
+			continue
 		}
 		c.event("leases-lapsed", "worker", worker.ID, "born", int64(worker.Born), "runs", len(drop.Runs), "term", uint64(lead.fence))
 		c.enqueue(lead.fence, scheduler.Command{Drop: drop})
--- a/scheduler/tracker.go
+++ b/scheduler/tracker.go
@@ -78,6 +78,16 @@
 	return !try.Started.IsZero() && try.Started.Before(look.Sent)
 }
 
+// MayStartLate reports whether a run that was given to an earlier life of a
+// worker may still be started by the present one, whose clock began anew, so
+// that the deadline of the start does not stop it.
+func MayStartLate(run *Run, worker *Worker, try *Try, wall UnixMilli) bool {
+	if run.Born >= worker.Born || wall-run.Assigned >= UnixMilli(looseMemory.Milliseconds()) {
+		return false
+	}
+	return try == nil || try.Unanswered
+}
+
 // Vanished returns the placed runs of a worker that are certainly gone.
 func (s *State) Vanished(worker *Worker, tries map[RunID]*Try, look *Look, fence Fence) []RunID {
 	var gone []RunID
