A preempted gang is stopped whole, and its room is used first

Cause: only the member in the way was stopped; the others followed 0.1 to 0.3 s later and their room was not counted, so more was stopped for the same claim.

--- a/scheduler/board.go
+++ b/scheduler/board.go
@@ -86,7 +86,7 @@
 
 // stopping makes a run's room free soon.
 func (b *board) stopping(run *Run) {
-	if run == nil || b.stopped[run.ID] {
+	if run == nil || b.stopped[run.ID] || b.observer.Stopping(run) {
 		return
 	}
 	b.stopped[run.ID] = true
@@ -97,6 +97,20 @@
 	}
 }
 
+// end orders a run to stop, and with it the whole gang that it belongs to,
+// whose other members are of no use without it.
+func (b *board) end(run *Run, reason string) []Stop {
+	var stops []Stop
+	for _, member := range b.state.members(run) {
+		if b.stopped[member.ID] || b.observer.Stopping(member) {
+			continue
+		}
+		b.stopping(member)
+		stops = append(stops, Stop{Run: member.ID, Reason: reason})
+	}
+	return stops
+}
+
 // take books a task of a unit.
 func (b *board) take(r *room, u *unit) {
 	need := u.step.Counted()
@@ -293,8 +307,7 @@
 	}
 	var stops []Stop
 	for _, run := range chosen {
-		b.stopping(run)
-		stops = append(stops, Stop{Run: run.ID, Reason: "preempted for " + task.String()})
+		stops = append(stops, b.end(run, "preempted for "+task.String())...)
 	}
 	return best, stops, lowest
 }
--- a/scheduler/planner_test.go
+++ b/scheduler/planner_test.go
@@ -228,6 +228,30 @@
 	}
 }
 
+// A gang that loses one member is stopped whole, and what its other members
+// leave is used before anything else is stopped.
+func TestRoomOfABrokenGangIsUsedFirst(t *testing.T) {
+	p := newPool(t, 4)
+	gang := tasks(4, 4)
+	gang.Gang, gang.SpreadLimit = true, 1
+	broken := p.submit(1, "long", gang)
+	p.plan()
+	p.submit(2, "long", tasks(4, 4))
+	p.plan()
+	wide := tasks(4, 4)
+	wide.Gang, wide.SpreadLimit = true, 1
+	p.now = p.now.Add(100 * time.Millisecond)
+	p.submit(3, "urgent", wide)
+	plan := p.plan()
+	jobs := map[identifier.JobID]int{}
+	for _, stop := range plan.Stop {
+		jobs[stop.Run.Task.Job]++
+	}
+	if len(plan.Stop) != 4 || len(jobs) != 1 && jobs[broken] > 0 {
+		t.Errorf("stops %v, want the 4 members of one gang or 4 single tasks", jobs)
+	}
+}
+
 func TestCheckpointingWorkIsPreemptedFirst(t *testing.T) {
 	p := newPool(t, 1)
 	saves := tasks(4, 1)
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -170,6 +170,23 @@
 	return open
 }
 
+// members returns the runs of the gang that a run belongs to, or the run alone.
+func (s *State) members(run *Run) []*Run {
+	step := s.StepOf(run.ID.Task)
+	if step == nil || !step.Gang {
+		return []*Run{run}
+	}
+	var members []*Run
+	for index := range step.Width {
+		id := run.ID
+		id.Task.Index = index
+		if member := s.runs[id]; member != nil {
+			members = append(members, member)
+		}
+	}
+	return members
+}
+
 // StepOf returns the step that a run belongs to, nil if its job is forgotten.
 func (s *State) StepOf(id TaskID) *Step {
 	job, known := s.jobs[id.Job]
