An instance that stops takes no office again; room kept for urgent work

Now a stopping instance takes no office, a log that has ended rules nothing, and an agent rests after a failed commit. 2. Leases of one worker were dropped once a tick until the commit; now once. 3. The planner leaves room for the lately highest urgent use to work that would lose by preemption.

--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -173,9 +173,11 @@
 	p := c.enqueue(lead.fence, commands...)
 	c.mu.Unlock()
 	results, err := p.wait(lead.ctx)
-	if err == nil {
-		c.logEnds(results)
+	if err != nil {
+		pause(lead.ctx, lookPause)
+		return
 	}
+	c.logEnds(results)
 }
 
 func (c *Coordinator) noteRunning(lead *leadership, worker *scheduler.Worker, watch *scheduler.Watch, look *scheduler.Look, now time.Time) {
--- a/coordinator/cluster_test.go
+++ b/coordinator/cluster_test.go
@@ -100,6 +100,8 @@
 	for _, h := range c.hosts {
 		h.stop()
 	}
+	// Calls that are under way cross their link and find nobody.
+	time.Sleep(time.Second)
 	synctest.Wait()
 }
 
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -69,6 +69,8 @@
 	verified map[identifier.WorkerID]scheduler.UnixMilli
 	// announced is when this instance last asked to be taken in.
 	announced time.Time
+	// stopping says that the instance takes no office any more.
+	stopping bool
 	// changing says that a change of the membership is under way.
 	changing  bool
 	proposing chan struct{}
@@ -83,6 +85,8 @@
 	planner  *scheduler.Planner
 	tries    map[scheduler.RunID]*scheduler.Try
 	agents   map[identifier.WorkerID]bool
+	// dropping holds the workers whose runs are being forgotten.
+	dropping map[identifier.WorkerID]bool
 	// assigning says that placements are being committed.
 	assigning bool
 	advising  map[scheduler.StepID]bool
@@ -124,6 +128,7 @@
 // Stop hands leadership over and ends.
 func (c *Coordinator) Stop() {
 	c.mu.Lock()
+	c.stopping = true
 	c.resign("stopping")
 	c.mu.Unlock()
 	c.node.Stop()
@@ -226,7 +231,7 @@
 	if c.lead != nil && (!view.Leads || scheduler.Fence(view.Term) != c.lead.fence) {
 		c.resign("another term")
 	}
-	if c.lead != nil || !rules {
+	if c.lead != nil || !rules || c.stopping {
 		return
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -236,6 +241,7 @@
 		planner:  scheduler.NewPlanner(),
 		tries:    map[scheduler.RunID]*scheduler.Try{},
 		agents:   map[identifier.WorkerID]bool{},
+		dropping: map[identifier.WorkerID]bool{},
 		advising: map[scheduler.StepID]bool{},
 		paces:    map[scheduler.RunID]int{},
 		stops:    map[identifier.JobID][]scheduler.JobEvent{},
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -83,7 +83,7 @@
 	lead := c.lead
 	for _, worker := range c.state.Workers() {
 		placed := c.state.Placed(worker.ID)
-		if len(placed) == 0 {
+		if len(placed) == 0 || lead.dropping[worker.ID] {
 			continue
 		}
 		watch := lead.observer.Known(worker.ID)
@@ -103,11 +103,20 @@
 			continue
 		}
 		c.event("leases-lapsed", "worker", worker.ID, "born", int64(worker.Born), "runs", len(drop.Runs), "term", uint64(lead.fence))
-		c.enqueue(lead.fence, scheduler.Command{Drop: drop})
+		lead.dropping[worker.ID] = true
+		go c.dropped(lead, worker.ID, c.enqueue(lead.fence, scheduler.Command{Drop: drop}))
 	}
 	c.forgetTries()
 }
 
+// dropped waits until runs are forgotten, so that they are dropped once.
+func (c *Coordinator) dropped(lead *leadership, id identifier.WorkerID, p *proposal) {
+	_, _ = p.wait(lead.ctx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(lead.dropping, id)
+}
+
 func (c *Coordinator) forgetTries() {
 	for id := range c.lead.stops {
 		if c.state.Job(id) == nil {
--- a/replicator/node.go
+++ b/replicator/node.go
@@ -282,6 +282,7 @@
 
 func (n *Node) run(restored Restored, initial []Peer) {
 	defer close(n.done)
+	defer n.leadership.Store(&Leadership{})
 	defer n.store.journal.Close()
 	defer n.closeQueues()
 	if n.Formation().Fresh {
--- a/scheduler/board.go
+++ b/scheduler/board.go
@@ -35,6 +35,21 @@
 	byWorker map[identifier.WorkerID]*room
 	// stopped holds the runs that this pass has ordered to stop.
 	stopped map[RunID]bool
+	// reserve is the number of accelerators that are left to urgent work.
+	reserve int64
+}
+
+// leaves reports whether some tasks of a unit leave the reserve free. Work
+// that claims need not, nor work that loses little when it is preempted.
+func (b *board) leaves(u *unit, tasks int) bool {
+	if u.claims || u.step.Checkpoints || u.step.Accelerators == 0 || b.reserve == 0 {
+		return true
+	}
+	free := int64(0)
+	for _, r := range b.rooms {
+		free += max(0, r.free.Accelerators)
+	}
+	return free-u.step.Accelerators*int64(tasks) >= b.reserve
 }
 
 func newBoard(s *State, o *Observer, now time.Time, wall UnixMilli) *board {
@@ -138,6 +153,9 @@
 	var assign Assign
 	var stops []Stop
 	for _, index := range u.tasks {
+		if !b.leaves(u, 1) {
+			break
+		}
 		r := b.best(u, u.task(index), b.rooms, freeRoom)
 		if r != nil {
 			b.take(r, u)
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -2,6 +2,9 @@
 
 // placeGang books room for a whole gang or for nothing.
 func (b *board) placeGang(u *unit) (Assign, []Stop) {
+	if !b.leaves(u, len(u.tasks)) {
+		return Assign{}, nil
+	}
 	if rooms := b.fitGang(u, freeRoom); rooms != nil {
 		var assign Assign
 		for i, r := range rooms {
--- a/scheduler/planner.go
+++ b/scheduler/planner.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -26,6 +27,10 @@
 // It is not safe for concurrent use.
 type Planner struct {
 	waiting map[StepID]time.Time
+	// peak is the lately highest number of accelerators that urgent work held
+	// or waited for, and peakAt when it was last brought up to date.
+	peak   float64
+	peakAt time.Time
 }
 
 // NewPlanner returns a planner.
@@ -66,7 +71,9 @@
 	for _, stop := range plan.Stop {
 		board.stopping(s.runs[stop.Run])
 	}
-	for _, u := range p.units(s, now, wall) {
+	units := p.units(s, now, wall)
+	board.reserve = p.reserve(s, units, board, now)
+	for _, u := range units {
 		if u.job.Terms.Advised && !o.Advised(u.id(), now) {
 			plan.Advise = append(plan.Advise, u.id())
 			continue
@@ -80,6 +87,44 @@
 	return plan
 }
 
+const (
+	// peakHalfLife is how fast a peak of urgent work is forgotten.
+	peakHalfLife = 6 * time.Second
+	// maxReserve is the part of a pool that is kept free at most.
+	maxReserve = 0.25
+)
+
+// reserve returns how many accelerators work that would be lost by preemption
+// leaves free, so that urgent work that comes and goes finds room.
+func (p *Planner) reserve(s *State, units []*unit, b *board, now time.Time) int64 {
+	urgent := int64(0)
+	for id := range s.runs {
+		job := s.jobs[id.Task.Job]
+		if job == nil || job.Terms.Priority != 0 {
+			continue
+		}
+		if step, _, _ := job.step(id.Task); !step.LongRunning {
+			urgent += step.Accelerators
+		}
+	}
+	held := urgent
+	for _, u := range units {
+		if u.job.Terms.Priority == 0 && !u.step.LongRunning {
+			urgent += u.step.Accelerators * int64(len(u.tasks))
+		}
+	}
+	if !p.peakAt.IsZero() {
+		p.peak *= math.Exp2(-float64(now.Sub(p.peakAt)) / float64(peakHalfLife))
+	}
+	p.peakAt = now
+	p.peak = max(p.peak, float64(urgent))
+	total := int64(0)
+	for _, r := range b.rooms {
+		total += r.worker.Capacity.Accelerators
+	}
+	return min(max(0, int64(p.peak)-held), int64(maxReserve*float64(total)))
+}
+
 // units returns what is ready to start, the most urgent first.
 func (p *Planner) units(s *State, now time.Time, wall UnixMilli) []*unit {
 	var units []*unit
