Runs that are lost with their worker go on from the last checkpoint seen

Cause: a run whose lease had lapsed began anew, though the leader had seen its checkpoint in the last look. Test: TestLostRunKeepsItsCheckpoint.

--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -97,6 +97,7 @@
 		for id, run := range placed {
 			if !scheduler.MayStartLate(run, worker, lead.tries[id], wall()) {
 				drop.Runs = append(drop.Runs, id)
+				drop.Checkpoints = append(drop.Checkpoints, watch.LastCheckpoint(id))
 			}
 		}
 		if len(drop.Runs) == 0 {
--- a/scheduler/apply.go
+++ b/scheduler/apply.go
@@ -188,10 +188,7 @@
 	if task == nil || task.Done {
 		return nil
 	}
-	if end.Checkpoint != "" {
-		task.Checkpoint = end.Checkpoint
-		state.Checkpoint = end.Checkpoint
-	}
+	job.keep(end.Run.Task, end.Checkpoint)
 	if end.How != EndDone {
 		job.note(now, "%s ended on %s: %s", end.Run, note.Worker, end.How)
 	}
@@ -254,18 +251,36 @@
 
 func (s *State) applyDrop(drop *Drop, now UnixMilli) Result {
 	result := Result{Outcome: OutcomeSame}
-	for _, id := range drop.Runs {
+	for i, id := range drop.Runs {
 		if run := s.runs[id]; run != nil {
 			s.remove(run)
 			result.Outcome = OutcomeDone
 			if job := s.active[id.Task.Job]; job != nil {
 				job.note(now, "%s is lost on %s: %s", id, run.Worker, drop.Reason)
+				job.keep(id.Task, drop.checkpoint(i))
 			}
 		}
 	}
 	return result
 }
 
+func (d *Drop) checkpoint(i int) string {
+	if i >= len(d.Checkpoints) {
+		return ""
+	}
+	return d.Checkpoints[i]
+}
+
+// keep notes a checkpoint from which a task, or its gang, can go on.
+func (j *Job) keep(id TaskID, checkpoint string) {
+	_, state, task := j.step(id)
+	if checkpoint == "" || task == nil {
+		return
+	}
+	task.Checkpoint = checkpoint
+	state.Checkpoint = checkpoint
+}
+
 // applyEnlist takes a worker's report. A worker that has been followed by
 // another life at its address or on its machine is not taken back.
 func (s *State) applyEnlist(worker Worker, now UnixMilli) Result {
--- a/scheduler/command.go
+++ b/scheduler/command.go
@@ -62,6 +62,9 @@
 // will be noted.
 type Drop struct {
 	Runs []RunID `json:"runs"`
+	// Checkpoints are the last that were seen of the runs, in the same order;
+	// it may be empty.
+	Checkpoints []string `json:"checkpoints,omitempty"`
 	// Reason is for the log of events.
 	Reason string `json:"reason,omitempty"`
 }
--- a/scheduler/observer.go
+++ b/scheduler/observer.go
@@ -149,6 +149,15 @@
 	w.Progress[running.Run] = progress
 }
 
+// LastCheckpoint returns the last checkpoint that was seen of a run, empty if
+// there is none. The watch may be nil.
+func (w *Watch) LastCheckpoint(id RunID) string {
+	if w == nil {
+		return ""
+	}
+	return w.Progress[id].Checkpoint
+}
+
 // Clocked reports whether anything is known of the worker's clock.
 func (w *Watch) Clocked() bool { return w.clocked }
 
--- a/scheduler/state_test.go
+++ b/scheduler/state_test.go
@@ -116,6 +116,26 @@
 	}
 }
 
+// A run that is lost with its worker goes on from the last checkpoint that was
+// seen, as does its gang.
+func TestLostRunKeepsItsCheckpoint(t *testing.T) {
+	p := newPool(t, 2)
+	saving := tasks(2, 8)
+	saving.Checkpoints, saving.Gang = true, true
+	job := p.submit(1, "long", saving)
+	p.plan()
+	first := RunID{Task: TaskID{Job: job}, Number: 1}
+	second := RunID{Task: TaskID{Job: job, Index: 1}, Number: 1}
+	p.apply(Command{Drop: &Drop{Runs: []RunID{first, second}, Checkpoints: []string{"saved", ""}, Reason: "x"}})
+	for _, assign := range p.plan().Assign {
+		for _, run := range assign.Runs {
+			if run.Checkpoint != "saved" || run.ID.Number != 2 {
+				t.Errorf("%s goes on from %q", run.ID, run.Checkpoint)
+			}
+		}
+	}
+}
+
 func TestGone(t *testing.T) {
 	at := time.Unix(1000, 0)
 	later := at.Add(time.Second)
