--- a/coordinator/surroundings_test.go
+++ b/coordinator/surroundings_test.go
@@ -81,8 +81,8 @@
 	return k
 }
 
-func waveCall(wave int, cap int, seconds int, machines ...string) forwarder.Call {
-	document := fmt.Sprintf(`{"wave":%d,"machines":["%s"],"duration-s":%d,"cap":%d}`, wave, strings.Join(machines, `","`), seconds, cap)
+func waveCall(wave, most, seconds int, machines ...string) forwarder.Call {
+	document := fmt.Sprintf(`{"wave":%d,"machines":["%s"],"duration-s":%d,"cap":%d}`, wave, strings.Join(machines, `","`), seconds, most)
 	return forwarder.Call{Kind: forwarder.KindStartWave, Document: json.RawMessage(document)}
 }
 
@@ -141,7 +141,7 @@
 func TestAdviceChoosesTheWorkers(t *testing.T) {
 	asked := 0
 	setup := func(c *cluster) {
-		c.advise = func(_ context.Context, _ scheduler.StepID, workers []identifier.WorkerID) (coordinator.Advised, error) {
+		c.advise = func(context.Context, scheduler.StepID, []identifier.WorkerID) (coordinator.Advised, error) {
 			asked++
 			time.Sleep(300 * time.Millisecond)
 			return coordinator.Advised{ValidMillis: 1000, Allowed: []coordinator.AllowedWorker{{Worker: "w-01", Ticket: "t"}}}, nil
