Metrics on an address of their own; whole-path test of nodes; chains in the log

Now settings' "metrics" (port 9464). Tests: three instances and a gateway over a network in memory, from the first catalog to the stop; a whole chain of events for each job across a change of leader; settings of a node.

--- /dev/null
+++ b/coordinator/events_test.go
@@ -0,0 +1,73 @@
+package coordinator_test
+
+import (
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"cranberrystack.dev/cranberrystack/faker"
+	"cranberrystack.dev/cranberrystack/identifier"
+	"cranberrystack.dev/cranberrystack/scheduler"
+)
+
+var eventLine = regexp.MustCompile(`event=(\S+) .*?(?:job|run)=([0-9a-f]{16})(\S*)`)
+
+// chain returns the events of a job in the order of the log.
+func (c *cluster) chain(id identifier.JobID) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var events []string
+	for _, line := range strings.Split(c.logs.String(), "\n") {
+		if found := eventLine.FindStringSubmatch(line); found != nil && found[2] == string(id) {
+			events = append(events, found[1]+found[3])
+		}
+	}
+	return events
+}
+
+// The log of a run with failures and a change of leader holds a whole chain
+// for each job: accepted first, ended last, and each run that was started has
+// an end, or is said to be lost.
+func TestLogHoldsAWholeChainForEachJob(t *testing.T) {
+	inCluster(t, 60, 4, 6, func(c *cluster) {
+		c.world.SetFaults(faker.TaskFaults{Fail: 0.2})
+		const jobs = 12
+		for i := 1; i <= jobs; i++ {
+			queue := []string{"long", "urgent"}[i%2]
+			second := step(2, 300, 1)
+			second.DependsOn = []int{0}
+			c.submit(queue, jobID(i), scheduler.Request{Spec: "s", Steps: []scheduler.Step{step(3, 700, 2), second}})
+			if i == jobs/2 {
+				leader := c.waitForLeader(5 * time.Second)
+				leader.crash()
+				defer leader.start(false)
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		time.Sleep(30 * time.Second)
+		for i := 1; i <= jobs; i++ {
+			events := c.chain(jobID(i))
+			for len(events) > 0 && events[0] == "submit-open" {
+				// Handed in while the leader lost its office, and again after.
+				events = events[1:]
+			}
+			if len(events) < 3 || events[0] != "job-accepted" || events[len(events)-1] != "job-ended" {
+				t.Errorf("job %d: %v", i, events)
+				continue
+			}
+			open := map[string]bool{}
+			for _, event := range events {
+				if run, found := strings.CutPrefix(event, "start."); found {
+					open[run] = true
+				}
+				if run, found := strings.CutPrefix(event, "end."); found {
+					delete(open, run)
+				}
+			}
+			if len(open) > 0 {
+				t.Errorf("job %d: runs without an end: %v", i, open)
+			}
+		}
+	})
+}
--- a/cranberryd/loader/node.go
+++ b/cranberryd/loader/node.go
@@ -69,6 +69,9 @@
 	// host counts; all instances use the port of Address.
 	Seeds  []string   `json:"seeds" validate:"min=1,dive,hostname_port"`
 	Listen NodeListen `json:"listen"`
+	// Metrics is where counters and histograms are read; empty if only other
+	// instances read them, at Address.
+	Metrics string `json:"metrics,omitempty" validate:"omitempty,hostname_port"`
 	// Bootstrap allows a new group of the log.
 	Bootstrap  bool   `json:"bootstrap"`
 	DataFolder string `json:"data-folder,omitempty"`
--- a/cranberryd/node/node.go
+++ b/cranberryd/node/node.go
@@ -104,16 +104,36 @@
 		failed: make(chan error, 1),
 	}
 	p.engine.Use(gin.Recovery())
-	p.engine.GET("/debug/vars", func(g *gin.Context) {
-		g.Data(http.StatusOK, "application/json; charset=utf-8", []byte(p.recorder.Vars().String()))
-	})
+	p.engine.GET(varsPath, p.serveVars)
 	lifecycle.Append(fx.Hook{
-		OnStart: func(context.Context) error { return p.serve(settings.Address, p.engine) },
-		OnStop:  p.shutdown,
+		OnStart: func(context.Context) error {
+			if err := p.serveMetrics(); err != nil {
+				return err
+			}
+			return p.serve(settings.Address, p.engine)
+		},
+		OnStop: p.shutdown,
 	})
 	return p
 }
 
+// varsPath is where counters and histograms are read.
+const varsPath = "/debug/vars"
+
+func (p *parts) serveVars(g *gin.Context) {
+	g.Data(http.StatusOK, "application/json; charset=utf-8", []byte(p.recorder.Vars().String()))
+}
+
+// serveMetrics shows the counters on an address of their own, if there is one.
+func (p *parts) serveMetrics() error {
+	if p.settings.Metrics == "" {
+		return nil
+	}
+	engine := gin.New()
+	engine.GET(varsPath, p.serveVars)
+	return p.serve(p.settings.Metrics, engine)
+}
+
 // serve answers on an address until the process stops.
 func (p *parts) serve(address string, handler http.Handler) error {
 	listener, err := p.seams.Listen(address)
--- /dev/null
+++ b/cranberryd/node/node_test.go
@@ -0,0 +1,143 @@
+package node_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"cranberrystack.dev/cranberryd/loader"
+	"cranberrystack.dev/cranberryd/node"
+	"cranberrystack.dev/cranberrystack/faker"
+	"cranberrystack.dev/cranberrystack/forwarder"
+	"cranberrystack.dev/cranberrystack/responder"
+)
+
+const nodeSettings = `{"instance":"%s","role":"%s","data-center":"dc","address":"%s:7000","seeds":["core-1:1","core-2:1","core-3:1"],
+"listen":{%s},"metrics":"%s:9464","bootstrap":true,"data-folder":"%s"}`
+
+func startNode(t *testing.T, network *faker.Network, name, role, listen string) *node.Node {
+	t.Helper()
+	settings, err := loader.LoadNode(fmt.Appendf(nil, nodeSettings, name, role, name, listen, name, t.TempDir()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	n, err := node.New(settings, node.Seams{
+		Listen: network.Listen, Dial: network.Dial(name), Logger: log.NewNopLogger(),
+		Clock: func() time.Duration { return time.Since(began) },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := n.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+// TestWholePath starts three instances that hold the log and a gateway, offers
+// a catalog, hands a job in through the gateway and asks for it, and stops
+// everything in turn.
+func TestWholePath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := faker.NewNetwork()
+		var nodes []*node.Node
+		for i := 1; i <= 3; i++ {
+			name := fmt.Sprintf("core-%d", i)
+			nodes = append(nodes, startNode(t, network, name, loader.RoleCoordination, fmt.Sprintf(`"control":"%s:8000"`, name)))
+		}
+		gateway := startNode(t, network, "edge-1", loader.RoleGateway, `"calls":"edge-1:80","ready":"edge-1:81"`)
+		transport := &http.Transport{DialContext: network.Dial("client")}
+		client := &http.Client{Transport: transport}
+		ask := func(host string, call forwarder.Call, want responder.Code) string {
+			t.Helper()
+			call.Host, call.Key = "h", "k"
+			body, err := json.Marshal(call)
+			if err != nil {
+				t.Fatal(err)
+			}
+			reply, err := client.Post("http://"+host+":7000"+forwarder.Path, "application/json", bytes.NewReader(body))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer reply.Body.Close()
+			var answer forwarder.Answer
+			if err := json.NewDecoder(reply.Body).Decode(&answer); err != nil {
+				t.Fatal(err)
+			}
+			if answer.Code != want {
+				t.Errorf("%s at %s: %s %s, want %s", call.Kind, host, answer.Code, answer.Reason, want)
+			}
+			return string(answer.Document)
+		}
+		time.Sleep(5 * time.Second)
+		submit := forwarder.Call{Kind: forwarder.KindSubmit, Path: "/q/00000000000000aa", Document: []byte(`{"spec":"s","steps":[{"width":1}]}`)}
+		ask("edge-1", submit, responder.CodeUnavailable)
+		catalog := `{"version":1,"queues":[{"name":"q","host":"h","path-prefix":"/q/","worker-pool":"p","timeout-ms":9}],
+			"pools":[{"name":"p"}],"teams":[{"name":"a","keys":["k"]}]}`
+		ask("edge-1", forwarder.Call{Kind: forwarder.KindConfigure, Document: []byte(catalog)}, forwarder.CodeOK)
+		ask("edge-1", forwarder.Call{Kind: forwarder.KindConfigure, Document: []byte(`{"version":2}`)}, responder.CodeInvalid)
+		ask("edge-1", submit, forwarder.CodeOK)
+		if got := ask("edge-1", forwarder.Call{Kind: forwarder.KindState, Path: submit.Path}, forwarder.CodeOK); got != `{"state":"queued"}` {
+			t.Errorf("state %s", got)
+		}
+		if got := ask("edge-1", forwarder.Call{Kind: forwarder.KindState, Path: "/q/"}, forwarder.CodeOK); got != `{"pending":1}` {
+			t.Errorf("queue %s", got)
+		}
+		ask("edge-1", forwarder.Call{Kind: forwarder.KindCancel, Path: submit.Path}, forwarder.CodeOK)
+		shown, err := client.Get("http://core-1:9464/debug/vars")
+		if err != nil {
+			t.Fatal(err)
+		}
+		vars, _ := io.ReadAll(shown.Body)
+		_ = shown.Body.Close()
+		if !strings.Contains(string(vars), `"coordination"`) {
+			t.Errorf("metrics do not say who leads: %s", vars)
+		}
+		if err := gateway.Ready(); err != nil {
+			t.Error(err)
+		}
+		transport.CloseIdleConnections()
+		for _, n := range append([]*node.Node{gateway}, nodes...) {
+			start := time.Now()
+			if err := n.Stop(); err != nil {
+				t.Error(err)
+			}
+			if took := time.Since(start); took > 6*time.Second {
+				t.Errorf("stopping took %v", took)
+			}
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		<-ctx.Done()
+	})
+}
+
+func TestSettingsOfANodeAreChecked(t *testing.T) {
+	whole := fmt.Sprintf(nodeSettings, "n", "coordination", "h", "", "h", "/d")
+	tests := []struct{ name, settings, key string }{
+		{"whole", whole, ""},
+		{"unknown role", strings.Replace(whole, `"role":"coordination"`, `"role":"x"`, 1), "role"},
+		{"no data folder", strings.Replace(whole, `"/d"`, `""`, 1), "data-folder"},
+		{"bad address", strings.Replace(whole, `"h:7000"`, `"h"`, 1), "address"},
+		{"unknown key", strings.Replace(whole, `"role"`, `"rolle"`, 1), "rolle"},
+		{"bad time", strings.Replace(whole, `"bootstrap"`, `"bounds":{"grace":"6"},"bootstrap"`, 1), "grace"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := loader.LoadNode([]byte(test.settings))
+			if test.key == "" && err != nil || test.key != "" && (err == nil || !strings.Contains(err.Error(), test.key)) {
+				t.Errorf("%v, want a line that names %q", err, test.key)
+			}
+		})
+	}
+}
