One reader of settings, one list of members, the library's own Contains

loader.Load and LoadNode read and checked in the same way, twice; members of the log were put together in four places; two packages had a contains of their own. Behaviour as before; tests of the packages pass.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -140,7 +140,7 @@
 func (c *Coordinator) Status() forwarder.Status {
 	view := c.node.Leadership()
 	status := forwarder.Status{Leader: view.Leader.Address, Rules: c.node.Rules(), ReportTo: c.config.ReportTo}
-	for _, peer := range append(append([]replicator.Peer(nil), view.Membership.Voters...), view.Membership.Learners...) {
+	for _, peer := range view.Membership.Members() {
 		status.Members = append(status.Members, peer.Address)
 	}
 	return status
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"cranberrystack.dev/cranberrystack/forwarder"
@@ -67,18 +68,13 @@
 }
 
 func holds(membership replicator.Membership, peer replicator.Peer) bool {
-	for _, member := range append(append([]replicator.Peer(nil), membership.Voters...), membership.Learners...) {
-		if member == peer {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(membership.Members(), peer)
 }
 
 // known returns the addresses of instances that may hold the log.
 func (c *Coordinator) known(view replicator.Leadership) []string {
 	addresses := append([]string(nil), c.config.Seeds...)
-	for _, member := range append(append([]replicator.Peer(nil), view.Membership.Voters...), view.Membership.Learners...) {
+	for _, member := range view.Membership.Members() {
 		addresses = append(addresses, member.Address)
 	}
 	var others []string
--- a/cranberryd/loader/loader.go
+++ b/cranberryd/loader/loader.go
@@ -155,18 +155,27 @@
 // Load reads and checks settings on top of the defaults.
 func Load(data []byte) (*Settings, error) {
 	settings := Default()
+	if err := decodeStrictly(data, settings); err != nil {
+		return nil, err
+	}
+	if err := Check(settings); err != nil {
+		return nil, err
+	}
+	return settings, nil
+}
+
+// decodeStrictly reads JSON into settings that hold the defaults. It refuses
+// unknown keys and text behind the end.
+func decodeStrictly(data []byte, settings any) error {
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(settings); err != nil {
-		return nil, fmt.Errorf("%s: %w", describeSyntax(err), ErrInvalid)
+		return fmt.Errorf("%s: %w", describeSyntax(err), ErrInvalid)
 	}
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return nil, fmt.Errorf("text follows the settings: %w", ErrInvalid)
+		return fmt.Errorf("text follows the settings: %w", ErrInvalid)
 	}
-	if err := Check(settings); err != nil {
-		return nil, err
-	}
-	return settings, nil
+	return nil
 }
 
 func describeSyntax(err error) string {
@@ -211,6 +220,14 @@
 
 // Check returns the first rule that settings break. Errors wrap ErrInvalid.
 func Check(settings *Settings) error {
+	if err := checkRules(settings); err != nil {
+		return err
+	}
+	return checkTogether(settings)
+}
+
+// checkRules checks each key by itself.
+func checkRules(settings any) error {
 	err := rules.Struct(settings)
 	var faults validator.ValidationErrors
 	if errors.As(err, &faults) {
@@ -219,11 +236,11 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", err, ErrInvalid)
 	}
-	return checkTogether(settings)
+	return nil
 }
 
 func faultOf(fault validator.FieldError) error {
-	key := strings.TrimPrefix(fault.Namespace(), "Settings.")
+	_, key, _ := strings.Cut(fault.Namespace(), ".")
 	rule := fault.Tag()
 	if fault.Param() != "" {
 		rule += " " + fault.Param()
--- a/cranberryd/loader/node.go
+++ b/cranberryd/loader/node.go
@@ -1,16 +1,10 @@
 package loader
 
 import (
-	"bytes"
-	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"net"
 	"os"
 
-	"github.com/go-playground/validator/v10"
-
 	"cranberrystack.dev/cranberrystack/identifier"
 )
 
@@ -118,21 +112,11 @@
 // LoadNode reads and checks settings on top of the defaults.
 func LoadNode(data []byte) (*NodeSettings, error) {
 	settings := DefaultNode()
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(settings); err != nil {
-		return nil, fmt.Errorf("%s: %w", describeSyntax(err), ErrInvalid)
-	}
-	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return nil, fmt.Errorf("text follows the settings: %w", ErrInvalid)
+	if err := decodeStrictly(data, settings); err != nil {
+		return nil, err
 	}
-	err := rules.Struct(settings)
-	var faults validator.ValidationErrors
-	if errors.As(err, &faults) {
-		return nil, faultOf(faults[0])
-	}
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", err, ErrInvalid)
+	if err := checkRules(settings); err != nil {
+		return nil, err
 	}
 	if settings.Role == RoleCoordination && settings.DataFolder == "" {
 		return nil, fmt.Errorf("key %q: the coordination role needs one: %w", "data-folder", ErrInvalid)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -159,22 +160,13 @@
 func (f *Forwarder) known() []string {
 	var all []string
 	for _, address := range append(append([]string(nil), f.members...), f.seeds...) {
-		if address != "" && address != f.config.Address && !contains(all, address) {
+		if address != "" && address != f.config.Address && !slices.Contains(all, address) {
 			all = append(all, address)
 		}
 	}
 	return all
 }
 
-func contains(list []string, wanted string) bool {
-	for _, item := range list {
-		if item == wanted {
-			return true
-		}
-	}
-	return false
-}
-
 // Ready reports whether the leader answered lately.
 func (f *Forwarder) Ready(now time.Time) bool {
 	f.mu.Lock()
--- a/replicator/custodian.go
+++ b/replicator/custodian.go
@@ -29,7 +29,7 @@
 // there are fewer than wanted, or in place of a voter that is silent or whose
 // disk is lost; and only then is that one removed.
 func NextChange(view Leadership, own identifier.InstanceID, announced []Announcement, voters int, now time.Time) (Change, bool) {
-	members := append(append([]Peer(nil), view.Membership.Voters...), view.Membership.Learners...)
+	members := view.Membership.Members()
 	fresh := recent(announced, now)
 	for _, peer := range fresh {
 		if find(members, peer.ID).ID == "" && len(members) < maxMembers {
--- a/replicator/replication.go
+++ b/replicator/replication.go
@@ -38,8 +38,7 @@
 
 // peers returns voters and learners.
 func (c *Core) peers() []Peer {
-	all := append([]Peer(nil), c.membership.Voters...)
-	return append(all, c.membership.Learners...)
+	return c.membership.Members()
 }
 
 func (c *Core) appendOwn(kind EntryKind, data []byte) Entry {
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -12,6 +12,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -62,6 +63,11 @@
 	Learners []Peer `json:"learners,omitempty"`
 }
 
+// Members returns voters and learners.
+func (m *Membership) Members() []Peer {
+	return slices.Concat(m.Voters, m.Learners)
+}
+
 // HardState is what a voter must not forget.
 type HardState struct {
 	// Term never decreases.
--- a/replicator/seeds.go
+++ b/replicator/seeds.go
@@ -1,6 +1,7 @@
 package replicator
 
 import (
+	"slices"
 	"time"
 
 	"cranberrystack.dev/cranberrystack/identifier"
@@ -30,7 +31,7 @@
 // whole system on empty disks. Every other instance waits to be added.
 func (n *Node) formFromSeeds(next <-chan time.Time) (Restored, bool) {
 	seeds := n.options.seeds
-	if !seeds.Bootstrap || !contains(seeds.Addresses, seeds.Address) {
+	if !seeds.Bootstrap || !slices.Contains(seeds.Addresses, seeds.Address) {
 		return n.begin(Membership{}, nil)
 	}
 	for {
@@ -83,12 +84,3 @@
 	defer n.mu.Unlock()
 	n.store.formation.First = first
 }
-
-func contains(list []string, wanted string) bool {
-	for _, item := range list {
-		if item == wanted {
-			return true
-		}
-	}
-	return false
-}
