A new leader leaves orders about machines to the one before it for a while

Cause: the settings named the duty lease and nothing used it; a new leader sent an upkeep order again at once, so two holders could take turns within it. Test: TestWaveOfUpkeep now judges orders of two terms for one machine. Whether it failed before was not tried.

--- a/coordinator/options.go
+++ b/coordinator/options.go
@@ -19,6 +19,9 @@
 	DefaultSilence = 4 * time.Second
 	// DefaultCallTimeout bounds an order to a worker.
 	DefaultCallTimeout = 500 * time.Millisecond
+	// DefaultDutyLease is how long a new leader leaves orders about machines to
+	// the one before it.
+	DefaultDutyLease = 3 * time.Second
 	// DefaultTick is the time between two looks at what is due.
 	DefaultTick = 100 * time.Millisecond
 	// DefaultIdleTick is that time while there is no work.
@@ -37,6 +40,7 @@
 	lookWait    time.Duration
 	silence     time.Duration
 	callTimeout time.Duration
+	dutyLease   time.Duration
 	tick        time.Duration
 	idleTick    time.Duration
 	clock       func() time.Duration
@@ -50,7 +54,7 @@
 	start := time.Now()
 	o := options{
 		maxLease: DefaultMaxLease, startLease: DefaultStartLease, lookWait: DefaultLookWait,
-		silence: DefaultSilence, callTimeout: DefaultCallTimeout,
+		silence: DefaultSilence, callTimeout: DefaultCallTimeout, dutyLease: DefaultDutyLease,
 		tick: DefaultTick, idleTick: DefaultIdleTick,
 		clock: func() time.Duration { return time.Since(start) },
 	}
@@ -65,6 +69,12 @@
 	return func(o *options) { o.maxLease = lease }
 }
 
+// DutyLease sets how long a new leader leaves orders about machines to the one
+// before it.
+func DutyLease(lease time.Duration) Option {
+	return func(o *options) { o.dutyLease = lease }
+}
+
 // Clock sets the clock that also counts the time in which the instance was
 // suspended.
 func Clock(clock func() time.Duration) Option {
--- a/coordinator/surroundings_test.go
+++ b/coordinator/surroundings_test.go
@@ -26,11 +26,19 @@
 	had  map[scheduler.MachineID]int
 	// most is the largest number of machines that were down at once.
 	most int
+	// orders holds who ordered which upkeep when.
+	orders []upkeepOrder
 	// loseAnswers counts the next orders that are carried out without answer.
 	loseAnswers int
 	killed      []scheduler.RunID
 }
 
+type upkeepOrder struct {
+	machine scheduler.MachineID
+	fence   scheduler.Fence
+	at      time.Time
+}
+
 func (k *keeper) list(context.Context) ([]coordinator.Machine, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -47,9 +55,10 @@
 	return machines, nil
 }
 
-func (k *keeper) order(_ context.Context, machine scheduler.MachineID, _ scheduler.WaveID, _ scheduler.Fence) (coordinator.UpkeepAnswer, error) {
+func (k *keeper) order(_ context.Context, machine scheduler.MachineID, _ scheduler.WaveID, fence scheduler.Fence) (coordinator.UpkeepAnswer, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.orders = append(k.orders, upkeepOrder{machine: machine, fence: fence, at: time.Now()})
 	id := identifier.WorkerID(strings.TrimPrefix(string(machine), "m-"))
 	if k.had[machine] == 0 {
 		k.had[machine]++
@@ -130,6 +139,13 @@
 				if len(k.had) != 3 || k.most > 1 || len(k.killed) > 0 {
 					t.Errorf("machines %v, %d down at once, cut off: %v", k.had, k.most, k.killed)
 				}
+				for i, order := range k.orders {
+					for _, later := range k.orders[i+1:] {
+						if later.machine == order.machine && later.fence != order.fence && later.at.Sub(order.at) < 2900*time.Millisecond {
+							t.Errorf("%s is ordered by terms %d and %d within %v", order.machine, order.fence, later.fence, later.at.Sub(order.at))
+						}
+					}
+				}
 				c.waitFor("long", jobID(1), "completed", 40*time.Second)
 			})
 		})
--- a/coordinator/upkeep.go
+++ b/coordinator/upkeep.go
@@ -82,7 +82,7 @@
 		lead.listing = true
 		go c.listMachines(lead)
 	}
-	if lead.machines == nil {
+	if lead.machines == nil || now.Sub(lead.observer.Since) < c.options.dutyLease {
 		return
 	}
 	at := scheduler.Machines{Worker: map[scheduler.MachineID]identifier.WorkerID{}, Down: map[scheduler.MachineID]bool{}, Known: map[scheduler.MachineID]bool{}}
--- a/cranberryd/node/coordination.go
+++ b/cranberryd/node/coordination.go
@@ -43,6 +43,7 @@
 		Recorder: p.recorder, Logger: p.logger,
 	},
 		coordinator.MaxLease(settings.Bounds.MaxLease.Std()),
+		coordinator.DutyLease(settings.Bounds.DutyLease.Std()),
 		coordinator.Clock(p.seams.Clock),
 		coordinator.Log(
 			replicator.HeartbeatInterval(settings.Control.HeartbeatInterval.Std()),
--- a/scheduler/command.go
+++ b/scheduler/command.go
@@ -97,6 +97,6 @@
 	Reason  string
 	// Ended are the jobs that ended by the command.
 	Ended []*Job
-	// Resent says that a job had been known under the same id.
+	// Phase is that of the job that was submitted or cancelled.
 	Phase Phase
 }
