--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -163,7 +163,7 @@
 		commands = append(commands, scheduler.Command{Note: note})
 	}
 	if len(gone) > 0 {
-		c.event("runs-vanished", "worker", id, "runs", len(gone), "first", gone[0])
+		c.runsLost(gone, id, "not on the worker", lead)
 		commands = append(commands, scheduler.Command{Drop: &scheduler.Drop{Runs: gone, Reason: "not on the worker"}})
 	}
 	if len(commands) == 0 {
@@ -229,6 +229,13 @@
 	return note
 }
 
+// runsLost logs each run that ends without an end from its worker.
+func (c *Coordinator) runsLost(runs []scheduler.RunID, worker identifier.WorkerID, reason string, lead *leadership) {
+	for _, run := range runs {
+		c.event("run-lost", "run", run, "worker", worker, "reason", reason, "term", uint64(lead.fence))
+	}
+}
+
 func (c *Coordinator) logEnds(results []scheduler.Result) {
 	for i := range results {
 		for _, job := range results[i].Ended {
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -104,6 +104,7 @@
 			continue
 		}
 		c.event("leases-lapsed", "worker", worker.ID, "born", int64(worker.Born), "runs", len(drop.Runs), "term", uint64(lead.fence))
+		c.runsLost(drop.Runs, worker.ID, drop.Reason, lead)
 		lead.dropping[worker.ID] = true
 		go c.dropped(lead, worker.ID, c.enqueue(lead.fence, scheduler.Command{Drop: drop}))
 	}
