--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -240,7 +240,7 @@
 	for i := range results {
 		for _, job := range results[i].Ended {
 			c.event("job-ended", "job", job.ID, "queue", job.Queue, "phase", job.Phase, "reason", job.Reason,
-				"took-ms", int64(job.Ended-job.Accepted))
+				"took-ms", int64(job.Ended-job.Accepted), "objective-ms", job.ObjectiveMillis())
 		}
 	}
 }
--- a/coordinator/workers.go
+++ b/coordinator/workers.go
@@ -84,7 +84,7 @@
 	if err != nil {
 		return c.failed(err)
 	}
-	c.event("worker", "worker", worker.ID, "born", int64(worker.Born), "state", worker.State, "pool", worker.Pool,
+	c.event("worker", "worker", worker.ID, "born", int64(worker.Born), "state", worker.State, "pool", worker.Pool, "rack", worker.Rack(),
 		"address", worker.Address, "sequence", worker.Sequence, "outcome", results[0].Outcome, "reason", results[0].Reason)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -260,8 +260,13 @@
 
 // objective returns by when an occurrence should be completed.
 func (j *Job) objective(occurrence int) UnixMilli {
-	span := j.Terms.Stretch*float64(j.chainMillis) + float64(j.Terms.ObjectiveMillis)
-	return j.Occurrences[occurrence].Due + UnixMilli(span)
+	return j.Occurrences[occurrence].Due + UnixMilli(j.ObjectiveMillis())
+}
+
+// ObjectiveMillis returns how many milliseconds an occurrence may take and be
+// in time, by the estimates.
+func (j *Job) ObjectiveMillis() int64 {
+	return int64(j.Terms.Stretch*float64(j.chainMillis)) + j.Terms.ObjectiveMillis
 }
 
 func (j *Job) end(phase Phase, reason string, now UnixMilli) {
