Runs that stand still are moved; late tasks get copies

Cause: a worker that answers while its tasks stand still kept them for ever, and tasks that may have copies ran once only. A run that shows no progress for 3 s or eight times the time of one percent, whichever is longer, is stopped and started elsewhere, its worker suspected; the span doubles with each worker, so a task that is slow everywhere is let run. A task with copies gets a second run in free room when the first needs 1.5 times its estimate still, or its worker is silent. The stand-in's workers can stand still.

--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -106,23 +106,25 @@
 	if watch.Misses > 0 {
 		return 0
 	}
-	for run := range c.state.Placed(id) {
-		try := c.lead.tries[run]
+	doubtful := false
+	for id, run := range c.state.Placed(id) {
+		try := c.lead.tries[id]
 		if try == nil {
 			return 0
 		}
 		if try.Unanswered || !try.Stopped.IsZero() {
 			return settleWait
 		}
+		doubtful = doubtful || c.lead.observer.Doubtful(c.state.StepOf(id.Task), run, wall())
 	}
-	if c.state.Disturbed(id) {
+	if doubtful || c.state.Disturbed(id) {
 		return disturbedWait
 	}
 	return c.options.lookWait
 }
 
 // disturbedWait is how long a look waits where tasks that fill may disturb
-// tasks that serve.
+// tasks that serve, or where a run may stand still.
 const disturbedWait = 500 * time.Millisecond
 
 // settleWait is how long a look waits while a run's fate is open.
--- a/coordinator/cluster_test.go
+++ b/coordinator/cluster_test.go
@@ -458,8 +458,13 @@
 	c.t.Helper()
 	live := map[scheduler.TaskID]scheduler.RunID{}
 	done := map[scheduler.TaskID]scheduler.RunID{}
+	copied := map[scheduler.TaskID]time.Time{}
 	for _, event := range c.world.History() {
 		task := event.Run.Task
+		if step := c.world.Step(task.StepID()); step != nil && step.Copies {
+			c.checkCopy(event, copied)
+			continue
+		}
 		if event.How == "" {
 			if other, runs := live[task]; runs {
 				c.t.Errorf("%s started on %s while %s ran", event.Run, event.Worker, other)
@@ -479,6 +484,20 @@
 	}
 }
 
+// checkCopy judges a run of a task that may have several at once: none is
+// started over a second after the end of one that was done was noted, but by
+// orders that were carried out late. done holds when that was.
+func (c *cluster) checkCopy(event faker.TaskEvent, done map[scheduler.TaskID]time.Time) {
+	c.t.Helper()
+	at, ended := done[event.Run.Task]
+	if event.How == "" && !event.Late && ended && event.At.Sub(at) > time.Second {
+		c.t.Errorf("%s started on %s %v after the end of its task was noted", event.Run, event.Worker, event.At.Sub(at))
+	}
+	if event.How == scheduler.EndDone && event.Noted && !ended {
+		done[event.Run.Task] = event.NotedAt
+	}
+}
+
 // inCluster runs a test in virtual time.
 func inCluster(t *testing.T, seed uint64, size, workers int, test func(c *cluster)) {
 	t.Helper()
--- a/coordinator/surroundings_test.go
+++ b/coordinator/surroundings_test.go
@@ -236,3 +236,39 @@
 		}
 	})
 }
+
+// A worker whose tasks stand still goes on answering. They are done elsewhere.
+func TestTasksThatStandStillRunElsewhere(t *testing.T) {
+	inCluster(t, 60, 4, 3, func(c *cluster) {
+		c.submit("long", jobID(1), scheduler.Request{Spec: "s", Steps: []scheduler.Step{step(2, 3000, 4)}})
+		time.Sleep(time.Second)
+		first := c.world.History()[0].Worker
+		c.workers[first].worker.Stall(true)
+		c.waitFor("long", jobID(1), "completed", 12*time.Second)
+		stopped := 0
+		for _, event := range c.world.History() {
+			if event.How == scheduler.EndStopped && event.Worker == first {
+				stopped++
+			}
+		}
+		if stopped == 0 {
+			t.Errorf("nothing was stopped on %s", first)
+		}
+	})
+}
+
+// Of a task that may have copies, a second run is started while the first
+// can't be asked, and the job is completed before the first run's lease ends.
+func TestCopyOfATaskOutOfReach(t *testing.T) {
+	inCluster(t, 61, 4, 3, func(c *cluster) {
+		copied := step(1, 2500, 8)
+		copied.Copies = true
+		c.submit("long", jobID(1), scheduler.Request{Spec: "s", Steps: []scheduler.Step{copied}})
+		time.Sleep(time.Second)
+		first := c.world.History()[0].Worker
+		for _, h := range c.hosts {
+			c.world.Cut(h.name, []identifier.WorkerID{first}, true)
+		}
+		c.waitFor("long", jobID(1), "completed", 6*time.Second)
+	})
+}
--- a/scheduler/observer.go
+++ b/scheduler/observer.go
@@ -55,6 +55,8 @@
 	Stopping map[RunID]time.Time
 	// failures holds the jobs that failed here since the last success.
 	failures map[identifier.JobID]time.Time
+	// stoodStill is when a run was last found to stand still here.
+	stoodStill time.Time
 }
 
 // Observer is what a leader has seen since it took over. It is not safe for
@@ -232,8 +234,12 @@
 
 // Failed notes that a run ended as failed.
 func (o *Observer) Failed(run *Run, now time.Time) {
-	watch := o.Watch(run.Worker, run.Born, now)
-	watch.failures[run.ID.Task.Job] = now
+	o.Watch(run.Worker, run.Born, now).failures[run.ID.Task.Job] = now
+	o.avoidFor(run)
+}
+
+// avoidFor keeps a run's task from its worker while others have room.
+func (o *Observer) avoidFor(run *Run) {
 	workers, known := o.avoid[run.ID.Task]
 	if !known {
 		workers = map[identifier.WorkerID]bool{}
@@ -254,6 +260,9 @@
 	if !known {
 		return false
 	}
+	if !watch.stoodStill.IsZero() && now.Sub(watch.stoodStill) < failureMemory {
+		return true
+	}
 	recent := 0
 	for _, at := range watch.failures {
 		if now.Sub(at) < failureMemory {
--- a/scheduler/planner.go
+++ b/scheduler/planner.go
@@ -70,6 +70,9 @@
 	board := newBoard(s, o, now, wall)
 	for _, stop := range plan.Stop {
 		board.stopping(s.runs[stop.Run])
+		if stop.Reason == stoodStillReason {
+			o.StoodStill(s.runs[stop.Run], now)
+		}
 	}
 	units := p.units(s, now, wall)
 	board.reserve = p.reserve(s, units, board, now)
@@ -84,6 +87,7 @@
 		}
 		plan.Stop = append(plan.Stop, stops...)
 	}
+	plan.Assign = append(plan.Assign, board.copies()...)
 	return plan
 }
 
@@ -253,6 +257,8 @@
 		return "another run was first"
 	case step.Gang && state.Left > 0 && state.Live < step.Width:
 		return "gang is not whole"
+	case o.StandsStill(step, run, wall):
+		return stoodStillReason
 	}
 	worker := s.workers[run.Worker]
 	if worker != nil && worker.State == WorkerDraining && leavesEarly(step, worker, run, o, wall) {
--- /dev/null
+++ b/scheduler/stall.go
@@ -0,0 +1,64 @@
+package scheduler
+
+import "time"
+
+const (
+	// leastStall is how long a run has to show no progress, at least, before
+	// it is taken to stand still.
+	leastStall = 3 * time.Second
+	// stallSteps is how often the time of one percent has to pass without one.
+	stallSteps = 8
+	// maxStallDoublings bounds how much longer a task is waited for that stood
+	// still on several workers.
+	maxStallDoublings = 6
+	// stoodStillReason is why a run that stands still is stopped.
+	stoodStillReason = "stands still"
+)
+
+// stallLimit returns how long a run may show no progress. The time of one
+// percent is taken from the estimate or from what the run has taken so far,
+// whichever is longer; it doubles with each worker that the task was taken
+// from, so that a task that is slow everywhere is let run.
+func (o *Observer) stallLimit(step *Step, run *Run, progress Progress, wall UnixMilli) time.Duration {
+	percent := step.EstimateMillis / 100
+	if progress.Percent > 0 {
+		moved := int64(wall-run.Assigned) - progress.Seen.Sub(progress.Moved).Milliseconds()
+		percent = max(percent, moved/int64(progress.Percent))
+	}
+	limit := max(leastStall, time.Duration(stallSteps*percent)*time.Millisecond)
+	return limit << min(len(o.avoid[run.ID.Task]), maxStallDoublings)
+}
+
+// still returns how long a run has shown no progress, and how long it may. Of
+// a run that need not show any, nothing is said.
+func (o *Observer) still(step *Step, run *Run, wall UnixMilli) (stood, limit time.Duration, known bool) {
+	watch := o.Known(run.Worker)
+	if watch == nil || watch.Misses > 0 || step == nil || step.LongRunning || step.Fills {
+		return 0, 0, false
+	}
+	progress, seen := watch.Progress[run.ID]
+	if !seen || step.Gang && progress.Percent == 0 {
+		return 0, 0, false
+	}
+	return progress.Seen.Sub(progress.Moved), o.stallLimit(step, run, progress, wall), true
+}
+
+// StandsStill reports whether a run shows no progress though its worker
+// answers.
+func (o *Observer) StandsStill(step *Step, run *Run, wall UnixMilli) bool {
+	stood, limit, known := o.still(step, run, wall)
+	return known && stood >= limit
+}
+
+// Doubtful reports whether a run should be looked at often, as it may stand
+// still.
+func (o *Observer) Doubtful(step *Step, run *Run, wall UnixMilli) bool {
+	stood, limit, known := o.still(step, run, wall)
+	return known && stood >= limit/2
+}
+
+// StoodStill notes that a run was found to stand still.
+func (o *Observer) StoodStill(run *Run, now time.Time) {
+	o.Watch(run.Worker, run.Born, now).stoodStill = now
+	o.avoidFor(run)
+}
--- /dev/null
+++ b/scheduler/stall_test.go
@@ -0,0 +1,197 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+)
+
+// look notes how far a run is, after a while.
+func (p *pool) look(id RunID, percent int, after time.Duration) {
+	p.now = p.now.Add(after)
+	run := p.state.Run(id)
+	p.observer.Watch(run.Worker, run.Born, p.now).Note(&RunningTask{Run: id, Percent: percent}, p.now)
+}
+
+func firstRun(p *pool, queue QueueName, step Step) RunID {
+	job := p.submit(len(p.state.jobs)+1, queue, step)
+	p.plan()
+	return RunID{Task: TaskID{Job: job}, Number: 1}
+}
+
+func stopped(plan Plan, id RunID) string {
+	for _, stop := range plan.Stop {
+		if stop.Run == id {
+			return stop.Reason
+		}
+	}
+	return ""
+}
+
+func TestRunThatStandsStillIsMoved(t *testing.T) {
+	p := newPool(t, 2)
+	run := firstRun(p, "long", tasks(1, 1))
+	from := p.state.Run(run).Worker
+	p.look(run, 10, time.Second)
+	for range 5 {
+		p.look(run, 10, 500*time.Millisecond)
+	}
+	if plan := p.plan(); len(plan.Stop) != 0 {
+		t.Fatalf("stopped after 2.5 s: %+v", plan.Stop)
+	}
+	p.look(run, 10, 600*time.Millisecond)
+	plan := p.plan()
+	if reason := stopped(plan, run); reason != stoodStillReason {
+		t.Fatalf("reason %q after 3.1 s, want %q", reason, stoodStillReason)
+	}
+	p.endStopped(plan)
+	p.plan()
+	second := p.state.Run(RunID{Task: run.Task, Number: 2})
+	if second == nil || second.Worker == from {
+		t.Errorf("second run %+v, want one on another worker than %s", second, from)
+	}
+	if !p.observer.Suspected(from, p.now) {
+		t.Errorf("%s is trusted", from)
+	}
+	p.now = p.now.Add(failureMemory)
+	if p.observer.Suspected(from, p.now) {
+		t.Errorf("%s is suspected for ever", from)
+	}
+}
+
+func TestRunsThatNeedNotMoveAreLetBe(t *testing.T) {
+	lasting := tasks(1, 1)
+	lasting.LongRunning = true
+	filling := tasks(1, 1)
+	filling.Fills = true
+	gang := tasks(2, 1)
+	gang.Gang = true
+	slow := tasks(1, 1)
+	slow.EstimateMillis = 3600_000
+	tests := []struct {
+		name    string
+		step    Step
+		percent int
+	}{
+		{"lasting", lasting, 100},
+		{"filling, which may be paced", filling, 5},
+		{"gang that waits for its members", gang, 0},
+		{"an hour's work, a percent of which takes 36 s", slow, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := newPool(t, 2)
+			run := firstRun(p, "long", test.step)
+			for range 20 {
+				p.look(run, test.percent, time.Second)
+			}
+			if plan := p.plan(); len(plan.Stop) != 0 {
+				t.Errorf("stopped: %+v", plan.Stop)
+			}
+		})
+	}
+}
+
+// A task that shows no progress on any worker is let run for longer each time.
+func TestTaskThatIsSlowEverywhereIsLetRun(t *testing.T) {
+	p := newPool(t, 4)
+	run := firstRun(p, "long", tasks(1, 1))
+	var spans []time.Duration
+	for range 3 {
+		began := p.now
+		for {
+			p.look(run, 1, 250*time.Millisecond)
+			plan := p.plan()
+			if stopped(plan, run) != "" {
+				p.endStopped(plan)
+				p.plan()
+				break
+			}
+			if p.now.Sub(began) > time.Minute {
+				t.Fatal("never stopped")
+			}
+		}
+		spans = append(spans, p.now.Sub(began))
+		run.Number++
+	}
+	if spans[1] < spans[0]*3/2 || spans[2] < spans[1]*3/2 {
+		t.Errorf("let run for %v, want longer each time", spans)
+	}
+}
+
+func TestSilentWorkersRunsAreNotTakenToStandStill(t *testing.T) {
+	p := newPool(t, 2)
+	run := firstRun(p, "long", tasks(1, 1))
+	for range 10 {
+		p.look(run, 10, time.Second)
+	}
+	p.observer.Watch(p.state.Run(run).Worker, 1, p.now).Misses = 1
+	if plan := p.plan(); len(plan.Stop) != 0 {
+		t.Errorf("stopped: %+v", plan.Stop)
+	}
+}
+
+func copied(width int) Step {
+	step := tasks(width, 1)
+	step.Copies = true
+	return step
+}
+
+func TestLateRunGetsACopy(t *testing.T) {
+	p := newPool(t, 2)
+	run := firstRun(p, "long", copied(1))
+	p.look(run, 20, 400*time.Millisecond)
+	if plan := p.plan(); len(plan.Assign) != 0 {
+		t.Fatalf("copied in time: %+v", plan.Assign)
+	}
+	p.look(run, 21, 2*time.Second)
+	plan := p.plan()
+	if len(plan.Assign) != 1 || plan.Assign[0].Runs[0].Worker == p.state.Run(run).Worker {
+		t.Fatalf("placed %+v, want one copy elsewhere", plan.Assign)
+	}
+	if plan = p.plan(); len(plan.Assign) != 0 {
+		t.Errorf("a third run: %+v", plan.Assign)
+	}
+	p.end(RunID{Task: run.Task, Number: 2}, EndDone)
+	if reason := stopped(p.plan(), run); reason != "another run was first" {
+		t.Errorf("first run is stopped for %q", reason)
+	}
+	if phase := p.state.Job(run.Task.Job).Phase; phase != PhaseCompleted {
+		t.Errorf("job is %s", phase)
+	}
+}
+
+func TestCopiesAreFewAndTakeOnlyFreeRoom(t *testing.T) {
+	p := newPool(t, 4)
+	first := firstRun(p, "long", copied(20))
+	for index := range 20 {
+		run := first
+		run.Task.Index = index
+		p.look(run, 20, 0)
+	}
+	p.now = p.now.Add(3 * time.Second)
+	for index := range 20 {
+		run := first
+		run.Task.Index = index
+		p.look(run, 21, 0)
+	}
+	if plan := p.plan(); len(plan.Assign) != 2 {
+		t.Errorf("%d copies of 20 tasks, want 2", len(plan.Assign))
+	}
+	p.check()
+
+	full := newPool(t, 1)
+	late := firstRun(full, "urgent", copied(8))
+	full.look(late, 1, 3*time.Second)
+	if plan := full.plan(); len(plan.Assign)+len(plan.Stop) != 0 {
+		t.Errorf("a copy takes room that is not free: %+v", plan)
+	}
+}
+
+func TestTaskOnASilentWorkerGetsACopy(t *testing.T) {
+	p := newPool(t, 2)
+	run := firstRun(p, "long", copied(1))
+	p.observer.Watch(p.state.Run(run).Worker, 1, p.now).Misses = 1
+	if plan := p.plan(); len(plan.Assign) != 1 {
+		t.Errorf("placed %+v, want a copy", plan.Assign)
+	}
+}
