Runs that were placed and never sent are given out anew; looks are spaced

A run and the report of its worker's next life come into one entry of the log; no start is sent, as the life has ended, and no try is kept. A commit of unknown outcome leaves the same behind. The reason of such a stop says the progress.

--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -109,10 +109,7 @@
 	doubtful := false
 	for id, run := range c.state.Placed(id) {
 		try := c.lead.tries[id]
-		if try == nil {
-			return 0
-		}
-		if try.Unanswered || !try.Stopped.IsZero() {
+		if try == nil || try.Unanswered || !try.Stopped.IsZero() {
 			return settleWait
 		}
 		doubtful = doubtful || c.lead.observer.Doubtful(c.state.StepOf(id.Task), run, wall())
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -89,8 +89,10 @@
 	dropping map[identifier.WorkerID]bool
 	// assigning says that placements are being committed.
 	assigning bool
-	advising  map[scheduler.StepID]bool
-	paces     map[scheduler.RunID]int
+	// forgetting says that runs that were never sent are being forgotten.
+	forgetting bool
+	advising   map[scheduler.StepID]bool
+	paces      map[scheduler.RunID]int
 	// stops holds the stops ordered in this office, by job.
 	stops    map[identifier.JobID][]scheduler.JobEvent
 	upkeep   map[scheduler.MachineID]bool
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -18,6 +18,7 @@
 		return
 	}
 	lead.observer.Forget(c.state, now)
+	c.dropUnsent(lead)
 	plan := lead.planner.Plan(c.state, lead.observer, now, wall())
 	for _, stop := range plan.Stop {
 		c.orderStop(stop.Run, stop.Reason, now)
@@ -77,6 +78,35 @@
 	go c.start(lead, *run, Destination{Worker: worker.ID, Address: worker.Address}, job.Request.Spec)
 }
 
+// dropUnsent forgets runs that this leader has placed and has sent no start
+// for, as their worker had started again or the answer of the log was lost. The
+// caller holds mu.
+func (c *Coordinator) dropUnsent(lead *leadership) {
+	if lead.forgetting {
+		return
+	}
+	runs := c.state.Unsent(lead.fence, lead.tries)
+	if len(runs) == 0 {
+		return
+	}
+	lead.forgetting = true
+	p := c.dropRuns(lead, runs, "never sent")
+	go func() {
+		_, _ = p.wait(lead.ctx)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		lead.forgetting = false
+	}()
+}
+
+// dropRuns forgets runs that are certainly not alive. The caller holds mu.
+func (c *Coordinator) dropRuns(lead *leadership, runs []scheduler.RunID, reason string) *proposal {
+	for _, id := range runs {
+		c.runsLost([]scheduler.RunID{id}, c.state.Run(id).Worker, reason, lead)
+	}
+	return c.enqueue(lead.fence, scheduler.Command{Drop: &scheduler.Drop{Runs: runs, Reason: reason}})
+}
+
 // dropLapsed forgets the runs of workers whose leases have certainly ended.
 // The caller holds mu.
 func (c *Coordinator) dropLapsed(now time.Time) {
--- a/coordinator/starter.go
+++ b/coordinator/starter.go
@@ -118,8 +118,7 @@
 	try.Calling = 0
 	now := time.Now()
 	if !try.Unanswered && try.Started.IsZero() {
-		c.runsLost([]scheduler.RunID{run.ID}, run.Worker, "never sent", lead)
-		c.enqueue(lead.fence, scheduler.Command{Drop: &scheduler.Drop{Runs: []scheduler.RunID{run.ID}, Reason: "never sent"}})
+		c.dropRuns(lead, []scheduler.RunID{run.ID}, "never sent")
 		return
 	}
 	if try.Started.IsZero() {
--- /dev/null
+++ b/coordinator/unsent_test.go
@@ -0,0 +1,75 @@
+package coordinator
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"cranberrystack.dev/cranberrystack/scheduler"
+)
+
+// placedCoordinator is a leader that has placed a run in the log and has sent
+// no start yet.
+func placedCoordinator(t *testing.T) (*Coordinator, scheduler.RunID, *bytes.Buffer) {
+	t.Helper()
+	var logged bytes.Buffer
+	c := &Coordinator{
+		config: Config{Logger: log.NewLogfmtLogger(&logged)}, options: newOptions(),
+		state: scheduler.NewState(), proposing: make(chan struct{}, 1),
+	}
+	now := time.Now()
+	c.lead = &leadership{
+		ctx: context.Background(), fence: 3, tries: map[scheduler.RunID]*scheduler.Try{},
+		observer: scheduler.NewObserver(now, 6*time.Second, 4*time.Second),
+	}
+	run := scheduler.Run{ID: scheduler.RunID{Task: scheduler.TaskID{Job: "1"}, Number: 1}, Worker: "w", Born: 1}
+	catalog := `{"version":1,"queues":[{"name":"q","host":"h","path-prefix":"/q/","worker-pool":"p","priority":1,"max-attempts":2,"stretch":3,"objective-ms":1,"timeout-ms":1}],"pools":[{"name":"p"}],"teams":[]}`
+	worker := scheduler.Worker{ID: "w", Born: 1, Pool: "p", Address: "a", State: scheduler.WorkerReady}
+	reborn := worker
+	reborn.Born = 2
+	request := scheduler.Request{Steps: []scheduler.Step{{Width: 1, EstimateMillis: 1000}}}
+	results := c.state.ApplyBatch(scheduler.Batch{Fence: 3, Now: wall(), Commands: []scheduler.Command{
+		{Configure: &scheduler.Configure{Document: []byte(catalog)}},
+		{Enlist: &worker},
+		{Submit: &scheduler.Submit{Job: "1", Queue: "q", Request: request}},
+		{Assign: &scheduler.Assign{Runs: []scheduler.Run{run}}},
+		{Enlist: &reborn},
+	}})
+	for i := range results {
+		if results[i].Outcome != scheduler.OutcomeDone {
+			t.Fatalf("command %d: %+v", i, results[i])
+		}
+	}
+	return c, run.ID, &logged
+}
+
+// The run and the report of its worker's next life are in one entry of the log.
+func TestRunOfAWorkerThatStartedAgainIsGivenOutAnew(t *testing.T) {
+	c, id, logged := placedCoordinator(t)
+	c.beginStart(c.lead, id)
+	c.dropUnsent(c.lead)
+	c.dropUnsent(c.lead)
+	if len(c.queue) != 1 || c.queue[0].commands[0].Drop == nil || c.queue[0].commands[0].Drop.Runs[0] != id {
+		t.Fatalf("queue %+v, want one drop of %s", c.queue, id)
+	}
+	if !strings.Contains(logged.String(), "event=run-lost run="+id.String()) {
+		t.Errorf("log %q does not name the run", logged)
+	}
+	c.state.ApplyBatch(scheduler.Batch{Fence: 3, Now: wall(), Commands: c.queue[0].commands})
+	if c.state.Run(id) != nil {
+		t.Errorf("%s is still placed", id)
+	}
+}
+
+// Whatever a leader does not know of a run, it does not ask without a pause.
+func TestLooksAtAnUnknownRunAreSpaced(t *testing.T) {
+	c, id, _ := placedCoordinator(t)
+	watch := c.lead.observer.Watch("w", 1, time.Now())
+	if wait := c.lookWait(watch, c.state.Run(id).Worker); wait < settleWait {
+		t.Errorf("look waits %v, want %v", wait, settleWait)
+	}
+}
--- a/scheduler/planner.go
+++ b/scheduler/planner.go
@@ -12,6 +12,8 @@
 type Stop struct {
 	Run    RunID
 	Reason string
+	// Still says that the run stands still.
+	Still bool
 }
 
 // Plan is what the leader should do now.
@@ -70,7 +72,7 @@
 	board := newBoard(s, o, now, wall)
 	for _, stop := range plan.Stop {
 		board.stopping(s.runs[stop.Run])
-		if stop.Reason == stoodStillReason {
+		if stop.Still {
 			o.StoodStill(s.runs[stop.Run], now)
 		}
 	}
@@ -222,6 +224,10 @@
 		}
 		if reason := stopReason(s, o, run, wall); reason != "" {
 			stops = append(stops, Stop{Run: id, Reason: reason})
+			continue
+		}
+		if reason := o.StandsStill(s.StepOf(id.Task), run, wall); reason != "" {
+			stops = append(stops, Stop{Run: id, Reason: reason, Still: true})
 		}
 	}
 	sort.Slice(stops, func(i, j int) bool { return less(stops[i].Run, stops[j].Run) })
@@ -257,8 +263,6 @@
 		return "another run was first"
 	case step.Gang && state.Left > 0 && state.Live < step.Width:
 		return "gang is not whole"
-	case o.StandsStill(step, run, wall):
-		return stoodStillReason
 	}
 	worker := s.workers[run.Worker]
 	if worker != nil && worker.State == WorkerDraining && leavesEarly(step, worker, run, o, wall) {
--- a/scheduler/stall.go
+++ b/scheduler/stall.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 const (
 	// leastStall is how long a run has to show no progress, at least, before
@@ -11,8 +14,6 @@
 	// maxStallDoublings bounds how much longer a task is waited for that stood
 	// still on several workers.
 	maxStallDoublings = 6
-	// stoodStillReason is why a run that stands still is stopped.
-	stoodStillReason = "stands still"
 )
 
 // stallLimit returns how long a run may show no progress. The time of one
@@ -37,17 +38,22 @@
 		return 0, 0, false
 	}
 	progress, seen := watch.Progress[run.ID]
-	if !seen || step.Gang && progress.Percent == 0 {
+	if !seen || step.Gang && (progress.Percent == 0 || progress.Percent >= 100) {
+		// A gang's member may be waiting for the others.
 		return 0, 0, false
 	}
 	return progress.Seen.Sub(progress.Moved), o.stallLimit(step, run, progress, wall), true
 }
 
-// StandsStill reports whether a run shows no progress though its worker
-// answers.
-func (o *Observer) StandsStill(step *Step, run *Run, wall UnixMilli) bool {
+// StandsStill returns why a run that shows no progress though its worker
+// answers should be stopped, empty if it should not.
+func (o *Observer) StandsStill(step *Step, run *Run, wall UnixMilli) string {
 	stood, limit, known := o.still(step, run, wall)
-	return known && stood >= limit
+	if !known || stood < limit {
+		return ""
+	}
+	percent := o.Known(run.Worker).Progress[run.ID].Percent
+	return fmt.Sprintf("stands still at %d%% for %v, limit %v", percent, stood.Round(time.Millisecond), limit)
 }
 
 // Doubtful reports whether a run should be looked at often, as it may stand
--- a/scheduler/tracker.go
+++ b/scheduler/tracker.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"sort"
+	"time"
+)
 
 // Try is what the leader knows of its order to start a run.
 type Try struct {
@@ -98,3 +101,16 @@
 	}
 	return gone
 }
+
+// Unsent returns the runs that a leader has placed itself and has no try for,
+// in order.
+func (s *State) Unsent(fence Fence, tries map[RunID]*Try) []RunID {
+	var unsent []RunID
+	for id, run := range s.runs {
+		if run.Fence == fence && tries[id] == nil {
+			unsent = append(unsent, id)
+		}
+	}
+	sort.Slice(unsent, func(i, j int) bool { return less(unsent[i], unsent[j]) })
+	return unsent
+}
