Causes of stops, and counters and histograms of jobs with steps

The metrics address showed latency by call and who leads, no more. Now each event of the log is counted by name, stops by cause, ends by kind, jobs by how they ended and how many were late; histograms of waits and times by team and queue; the meter shows term, commit, catalog in force and its age, queues, silent members and workers, commands that wait. Stops carry a typed cause beside the reason for people; the line of a stop has it as cause=.

--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -218,6 +218,7 @@
 		if run == nil {
 			continue
 		}
+		c.config.Recorder.Add("ends."+string(end.How), 1)
 		switch end.How {
 		case scheduler.EndFailed:
 			lead.observer.Failed(run, now)
@@ -238,6 +239,7 @@
 func (c *Coordinator) logEnds(results []scheduler.Result) {
 	for i := range results {
 		for _, job := range results[i].Ended {
+			c.noteEnded(job)
 			c.event("job-ended", "job", job.ID, "queue", job.Queue, "phase", job.Phase, "reason", job.Reason,
 				"took-ms", int64(job.Ended-job.Accepted), "objective-ms", job.ObjectiveMillis())
 		}
--- a/coordinator/calls.go
+++ b/coordinator/calls.go
@@ -220,6 +220,9 @@
 	if err != nil {
 		return c.failed(err)
 	}
+	for _, job := range results[0].Ended {
+		c.noteEnded(job)
+	}
 	c.event("job-cancelled", "job", at.job, "outcome", results[0].Outcome, "phase", results[0].Phase)
 	if results[0].Outcome == scheduler.OutcomeUnknown {
 		return problem(forwarder.CodeGone, "no such job")
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -67,6 +67,8 @@
 	// verified holds the life that each worker's last look was answered by, on
 	// a connection that still exists.
 	verified map[identifier.WorkerID]scheduler.UnixMilli
+	// configured is when the catalog in force came here.
+	configured time.Time
 	// announced is when this instance last asked to be taken in.
 	announced time.Time
 	// stopping says that the instance takes no office any more.
@@ -151,11 +153,15 @@
 func (c *Coordinator) apply(_ uint64, data []byte) any {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	version := c.state.Catalog().Version
 	results, err := c.state.Apply(data)
 	if err != nil {
 		c.event("entry-unreadable", "error", err)
 		return []scheduler.Result(nil)
 	}
+	if c.state.Catalog().Version != version {
+		c.configured = time.Now()
+	}
 	c.poke()
 	return results
 }
@@ -169,7 +175,11 @@
 func (c *Coordinator) restore(data []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.state.Restore(data)
+	if err := c.state.Restore(data); err != nil {
+		return fmt.Errorf("restore the state: %w", err)
+	}
+	c.configured = time.Now()
+	return nil
 }
 
 // poke makes the main loop look again.
@@ -182,6 +192,7 @@
 
 // event logs one decision or change of belief.
 func (c *Coordinator) event(name string, pairs ...any) {
+	c.config.Recorder.Add("events."+name, 1)
 	_ = c.config.Logger.Log(append([]any{"event", name}, pairs...)...)
 }
 
--- a/coordinator/explain.go
+++ b/coordinator/explain.go
@@ -92,11 +92,7 @@
 	if c.lead == nil {
 		return c.notLeader()
 	}
-	body := overviewBody{Statistics: c.state.Statistics()}
-	for i := range c.state.Catalog().Queues {
-		name := c.state.Catalog().Queues[i].Name
-		body.Queues = append(body.Queues, queueView{Queue: name, Pending: c.state.Pending(name)})
-	}
+	body := overviewBody{Statistics: c.state.Statistics(), Queues: c.queueViews()}
 	for i := range c.state.Catalog().Teams {
 		team := &c.state.Catalog().Teams[i]
 		body.Teams = append(body.Teams, teamView{
--- /dev/null
+++ b/coordinator/meter.go
@@ -0,0 +1,101 @@
+package coordinator
+
+import (
+	"time"
+
+	"cranberrystack.dev/cranberrystack/identifier"
+	"cranberrystack.dev/cranberrystack/recorder"
+	"cranberrystack.dev/cranberrystack/scheduler"
+)
+
+// Meter is how the system stands, in numbers, as one instance knows it.
+type Meter struct {
+	Leader  string   `json:"leader"`
+	Members []string `json:"members"`
+	// SilentMembers counts, on the leader, those that have not answered for a
+	// second.
+	SilentMembers int    `json:"silent-members"`
+	Rules         bool   `json:"rules"`
+	Term          uint64 `json:"term"`
+	Commit        uint64 `json:"commit"`
+	// CatalogAgeMillis is since when this instance has the catalog in force.
+	CatalogAgeMillis int64                `json:"catalog-age-ms"`
+	Statistics       scheduler.Statistics `json:"statistics"`
+	Queues           []queueView          `json:"queues,omitempty"`
+	// Waiting counts the commands that are not being committed yet.
+	Waiting int `json:"waiting-commands"`
+	// Silent and Draining count workers. Silent is known to the leader only.
+	Silent   int `json:"silent-workers"`
+	Draining int `json:"draining-workers"`
+}
+
+// Meter returns how the system stands.
+func (c *Coordinator) Meter() Meter {
+	view := c.node.Leadership()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	meter := Meter{
+		Leader: view.Leader.Address, Rules: c.node.Rules(), Term: uint64(view.Term), Commit: view.Commit,
+		Statistics: c.state.Statistics(), Queues: c.queueViews(), Waiting: len(c.queue),
+	}
+	if !c.configured.IsZero() {
+		meter.CatalogAgeMillis = time.Since(c.configured).Milliseconds()
+	}
+	for _, peer := range view.Membership.Members() {
+		meter.Members = append(meter.Members, peer.Address)
+	}
+	for _, silent := range view.Silent {
+		if silent.For > time.Second {
+			meter.SilentMembers++
+		}
+	}
+	for _, worker := range c.state.Workers() {
+		if worker.State == scheduler.WorkerDraining {
+			meter.Draining++
+		}
+		if c.lead == nil {
+			continue
+		}
+		if watch := c.lead.observer.Known(worker.ID); watch != nil && watch.Misses > 0 {
+			meter.Silent++
+		}
+	}
+	return meter
+}
+
+func (c *Coordinator) queueViews() []queueView {
+	var views []queueView
+	for i := range c.state.Catalog().Queues {
+		name := c.state.Catalog().Queues[i].Name
+		views = append(views, queueView{Queue: name, Pending: c.state.Pending(name)})
+	}
+	return views
+}
+
+// noteWait measures how long a job has waited for its first run. The caller
+// holds mu.
+func (c *Coordinator) noteWait(first scheduler.RunID) {
+	job := c.state.Job(first.Task.Job)
+	if job == nil || first.Number != 1 || first.Task.Step != 0 || first.Task.Index != 0 {
+		return
+	}
+	due := job.Occurrences[first.Task.Occurrence].Due
+	c.observe("job-wait", job, string(job.Queue), wall()-due)
+}
+
+// noteEnded measures how long a job took, and counts it if it was late.
+func (c *Coordinator) noteEnded(job *scheduler.Job) {
+	took := job.Ended - job.Accepted
+	c.observe("job", job, string(job.Queue)+"."+string(job.Phase), took)
+	if job.Phase == scheduler.PhaseCompleted && int64(took) > job.ObjectiveMillis() {
+		c.config.Recorder.Add("jobs.late", 1)
+	}
+	c.config.Recorder.Add("jobs."+string(job.Phase), 1)
+}
+
+// observe adds to the histogram of a team and class. One that is too many is
+// left out.
+func (c *Coordinator) observe(name string, job *scheduler.Job, class string, took scheduler.UnixMilli) {
+	series := recorder.Series{Name: name, Member: identifier.MemberID(job.Team), Class: class}
+	_ = c.config.Recorder.Observe(series, time.Duration(max(took, 0))*time.Millisecond)
+}
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -4,12 +4,9 @@
 	"time"
 
 	"cranberrystack.dev/cranberrystack/identifier"
-	"cranberrystack.dev/cranberrystack/recorder"
 	"cranberrystack.dev/cranberrystack/scheduler"
 )
 
-func recorderSeries(name string) recorder.Series { return recorder.Series{Name: name} }
-
 // plan lets the planner choose and carries out what it chose. The caller holds
 // mu.
 func (c *Coordinator) plan(now time.Time) {
@@ -21,7 +18,7 @@
 	c.dropUnsent(lead)
 	plan := lead.planner.Plan(c.state, lead.observer, now, wall())
 	for _, stop := range plan.Stop {
-		c.orderStop(stop.Run, stop.Reason, now)
+		c.orderStop(stop, now)
 	}
 	for _, step := range plan.Advise {
 		c.askAdvice(step)
@@ -53,6 +50,7 @@
 			c.event("assign-stale", "step", placed[i].Runs[0].ID.Task.StepID(), "reason", results[i].Reason)
 			continue
 		}
+		c.noteWait(placed[i].Runs[0].ID)
 		for j := range placed[i].Runs {
 			c.beginStart(lead, placed[i].Runs[j].ID)
 		}
--- a/coordinator/proposer.go
+++ b/coordinator/proposer.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"cranberrystack.dev/cranberrystack/recorder"
 	"cranberrystack.dev/cranberrystack/replicator"
 	"cranberrystack.dev/cranberrystack/scheduler"
 )
@@ -129,7 +130,7 @@
 		c.event("commit-unknown", "commands", len(batch.Commands), "error", err)
 		return nil, replicator.ErrLost
 	}
-	_ = c.config.Recorder.Observe(recorderSeries("commit"), time.Since(start))
+	_ = c.config.Recorder.Observe(recorder.Series{Name: "commit"}, time.Since(start))
 	results, _ := value.([]scheduler.Result)
 	if len(results) != len(batch.Commands) {
 		return nil, replicator.ErrLost
--- a/coordinator/starter.go
+++ b/coordinator/starter.go
@@ -99,7 +99,7 @@
 		return
 	}
 	if try.Unanswered || !try.Started.IsZero() {
-		c.orderStop(run.ID, "an earlier start has no answer", now)
+		c.orderStop(scheduler.Stop{Run: run.ID, Cause: scheduler.CauseUnanswered, Reason: "an earlier start has no answer"}, now)
 		return
 	}
 	c.enqueue(lead.fence, scheduler.Command{Drop: &scheduler.Drop{Runs: []scheduler.RunID{run.ID}, Reason: string(answer.Refusal)}})
@@ -123,15 +123,16 @@
 	}
 	if try.Started.IsZero() {
 		lead.observer.Watch(run.Worker, run.Born, now).Rest(now.Add(restAfterRefusal))
-		c.orderStop(run.ID, "start has no answer", now)
+		c.orderStop(scheduler.Stop{Run: run.ID, Cause: scheduler.CauseUnanswered, Reason: "start has no answer"}, now)
 	}
 	c.attend(run.Worker)
 }
 
 // orderStop orders a worker to stop a run until it is known to have ended. The
 // caller holds mu.
-func (c *Coordinator) orderStop(id scheduler.RunID, reason string, now time.Time) {
+func (c *Coordinator) orderStop(stop scheduler.Stop, now time.Time) {
 	lead := c.lead
+	id := stop.Run
 	run := c.state.Run(id)
 	if run == nil || lead == nil {
 		return
@@ -144,8 +145,9 @@
 	if lead.tries[id] == nil {
 		lead.tries[id] = &scheduler.Try{}
 	}
-	lead.noteStop(id, reason)
-	c.event("stop", "run", id, "worker", run.Worker, "reason", reason, "term", uint64(lead.fence))
+	lead.noteStop(id, stop.Reason)
+	c.config.Recorder.Add("stops."+string(stop.Cause), 1)
+	c.event("stop", "run", id, "worker", run.Worker, "cause", stop.Cause, "reason", stop.Reason, "term", uint64(lead.fence))
 	c.attend(run.Worker)
 	go c.stopRun(lead, *run)
 }
--- a/coordinator/unsent_test.go
+++ b/coordinator/unsent_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-kit/log"
 
+	"cranberrystack.dev/cranberrystack/recorder"
 	"cranberrystack.dev/cranberrystack/scheduler"
 )
 
@@ -18,7 +19,7 @@
 	t.Helper()
 	var logged bytes.Buffer
 	c := &Coordinator{
-		config: Config{Logger: log.NewLogfmtLogger(&logged)}, options: newOptions(),
+		config: Config{Logger: log.NewLogfmtLogger(&logged), Recorder: recorder.New()}, options: newOptions(),
 		state: scheduler.NewState(), proposing: make(chan struct{}, 1),
 	}
 	now := time.Now()
--- a/coordinator/upkeep.go
+++ b/coordinator/upkeep.go
@@ -105,7 +105,7 @@
 		lead.observer.Closed[worker] = true
 	}
 	for _, stop := range step.Stop {
-		c.orderStop(stop.Run, stop.Reason, now)
+		c.orderStop(stop, now)
 	}
 	for i := range step.Changes {
 		change := step.Changes[i]
--- a/cranberryd/node/coordination.go
+++ b/cranberryd/node/coordination.go
@@ -55,7 +55,7 @@
 	c.Routes(p.engine)
 	f := p.newForwarder(c.Handle)
 	p.setSeeds = append(p.setSeeds, c.SetSeeds)
-	p.recorder.Publish("coordination", func() any { return c.Status() })
+	p.recorder.Publish("coordination", func() any { return c.Meter() })
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			go func() {
--- a/cranberryd/node/node_test.go
+++ b/cranberryd/node/node_test.go
@@ -94,14 +94,22 @@
 			t.Errorf("queue %s", got)
 		}
 		ask("edge-1", forwarder.Call{Kind: forwarder.KindCancel, Path: submit.Path}, forwarder.CodeOK)
-		shown, err := client.Get("http://core-1:9464/debug/vars")
-		if err != nil {
-			t.Fatal(err)
+		var vars strings.Builder
+		for _, name := range []string{"core-1", "core-2", "core-3"} {
+			shown, err := client.Get("http://" + name + ":9464/debug/vars")
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.Copy(&vars, shown.Body)
+			_ = shown.Body.Close()
 		}
-		vars, _ := io.ReadAll(shown.Body)
-		_ = shown.Body.Close()
-		if !strings.Contains(string(vars), `"coordination"`) {
-			t.Errorf("metrics do not say who leads: %s", vars)
+		for _, wanted := range []string{
+			`"rules":true`, `"catalog-age-ms"`, `"pending"`, `"events.job-accepted"`, `"events.office-taken"`, `"jobs.cancelled"`,
+			`"name":"job","member":"a","class":"q.cancelled","count":1`, `"name":"commit"`,
+		} {
+			if !strings.Contains(vars.String(), wanted) {
+				t.Errorf("metrics do not show %s: %s", wanted, vars.String())
+			}
 		}
 		if err := gateway.Ready(); err != nil {
 			t.Error(err)
--- a/scheduler/board.go
+++ b/scheduler/board.go
@@ -112,16 +112,16 @@
 	}
 }
 
-// end orders a run to stop, and with it the whole gang that it belongs to,
+// preempted orders a run to stop for a task, and with it the whole gang that it belongs to,
 // whose other members are of no use without it.
-func (b *board) end(run *Run, reason string) []Stop {
+func (b *board) preempted(run *Run, by TaskID) []Stop {
 	var stops []Stop
 	for _, member := range b.state.members(run) {
 		if b.stopped[member.ID] || b.observer.Stopping(member) {
 			continue
 		}
 		b.stopping(member)
-		stops = append(stops, Stop{Run: member.ID, Reason: reason})
+		stops = append(stops, Stop{Run: member.ID, Cause: CausePreempted, Reason: "preempted for " + by.String()})
 	}
 	return stops
 }
@@ -325,7 +325,7 @@
 	}
 	var stops []Stop
 	for _, run := range chosen {
-		stops = append(stops, b.end(run, "preempted for "+task.String())...)
+		stops = append(stops, b.preempted(run, task)...)
 	}
 	return best, stops, lowest
 }
--- a/scheduler/planner.go
+++ b/scheduler/planner.go
@@ -10,12 +10,29 @@
 
 // Stop is a run that should end, and why.
 type Stop struct {
-	Run    RunID
+	Run   RunID
+	Cause Cause
+	// Reason says more, for people.
 	Reason string
-	// Still says that the run stands still.
-	Still bool
 }
 
+// Cause is why a run should end.
+type Cause string
+
+// The causes of stops.
+const (
+	CauseForgotten  Cause = "forgotten"
+	CauseCancelled  Cause = "cancelled"
+	CauseFailed     Cause = "failed"
+	CauseOtherRun   Cause = "other-run"
+	CauseGang       Cause = "gang"
+	CauseLeaving    Cause = "leaving"
+	CauseStill      Cause = "stands-still"
+	CausePreempted  Cause = "preempted"
+	CauseUpkeep     Cause = "upkeep"
+	CauseUnanswered Cause = "unanswered"
+)
+
 // Plan is what the leader should do now.
 type Plan struct {
 	// Assign holds placements; each is for one step, whole if it is a gang.
@@ -72,7 +89,7 @@
 	board := newBoard(s, o, now, wall)
 	for _, stop := range plan.Stop {
 		board.stopping(s.runs[stop.Run])
-		if stop.Still {
+		if stop.Cause == CauseStill {
 			o.StoodStill(s.runs[stop.Run], now)
 		}
 	}
@@ -222,12 +239,8 @@
 		if o.Stopping(run) {
 			continue
 		}
-		if reason := stopReason(s, o, run, wall); reason != "" {
-			stops = append(stops, Stop{Run: id, Reason: reason})
-			continue
-		}
-		if reason := o.StandsStill(s.StepOf(id.Task), run, wall); reason != "" {
-			stops = append(stops, Stop{Run: id, Reason: reason, Still: true})
+		if cause, reason := stopCause(s, o, run, wall); cause != "" {
+			stops = append(stops, Stop{Run: id, Cause: cause, Reason: reason})
 		}
 	}
 	sort.Slice(stops, func(i, j int) bool { return less(stops[i].Run, stops[j].Run) })
@@ -248,27 +261,32 @@
 	return a.Number < b.Number
 }
 
-func stopReason(s *State, o *Observer, run *Run, wall UnixMilli) string {
+// stopCause returns why a run should end whatever else waits, nothing if it
+// need not.
+func stopCause(s *State, o *Observer, run *Run, wall UnixMilli) (Cause, string) {
 	job := s.jobs[run.ID.Task.Job]
 	if job == nil {
-		return "job is forgotten"
+		return CauseForgotten, "job is forgotten"
 	}
 	step, state, task := job.step(run.ID.Task)
 	switch {
 	case job.Phase == PhaseCancelled:
-		return "job was cancelled"
+		return CauseCancelled, "job was cancelled"
 	case job.Phase == PhaseFailed:
-		return "job has failed"
+		return CauseFailed, "job has failed"
 	case task.Done && !step.Gang:
-		return "another run was first"
+		return CauseOtherRun, "another run was first"
 	case step.Gang && state.Left > 0 && state.Live < step.Width:
-		return "gang is not whole"
+		return CauseGang, "gang is not whole"
 	}
 	worker := s.workers[run.Worker]
 	if worker != nil && worker.State == WorkerDraining && leavesEarly(step, worker, run, o, wall) {
-		return "worker is leaving"
+		return CauseLeaving, "worker is leaving"
+	}
+	if reason := o.StandsStill(step, run, wall); reason != "" {
+		return CauseStill, reason
 	}
-	return ""
+	return "", ""
 }
 
 // leavesEarly reports whether a draining worker is expected to be gone before
--- a/scheduler/planner_test.go
+++ b/scheduler/planner_test.go
@@ -168,7 +168,7 @@
 			plan := p.plan()
 			for _, stop := range plan.Stop {
 				job := p.state.Job(stop.Run.Task.Job)
-				if job.Active() && job.Terms.Priority == 0 && stop.Reason != "gang is not whole" {
+				if job.Active() && job.Terms.Priority == 0 && stop.Cause != CauseGang {
 					t.Errorf("urgent %s is stopped: %s", stop.Run, stop.Reason)
 				}
 			}
--- a/scheduler/upkeep.go
+++ b/scheduler/upkeep.go
@@ -101,12 +101,12 @@
 		}
 		if step.LongRunning {
 			if s.mayMiss(o, run.Task) {
-				next.Stop = append(next.Stop, Stop{Run: run, Reason: "upkeep"})
+				next.Stop = append(next.Stop, Stop{Run: run, Cause: CauseUpkeep, Reason: "upkeep"})
 			}
 			continue
 		}
 		if step.Checkpoints || remaining(step, held, o, wall) > left {
-			next.Stop = append(next.Stop, Stop{Run: run, Reason: "upkeep"})
+			next.Stop = append(next.Stop, Stop{Run: run, Cause: CauseUpkeep, Reason: "upkeep"})
 		}
 	}
 	return false
