--- a/cranberryd/command/node.go
+++ b/cranberryd/command/node.go
@@ -44,7 +44,9 @@
 	defer lines.Close()
 	events := log.With(lines, "instance", settings.Instance)
 	dialer := &net.Dialer{}
-	seams := node.Seams{Listen: daemon.Listener, Dial: dialer.DialContext, Clock: node.BootClock, Logger: events}
+	seams := node.Seams{
+		Listen: daemon.Listener, Dial: dialer.DialContext, Clock: node.BootClock, Logger: events, Unlogged: lines.Total,
+	}
 	n, err := node.New(settings, seams)
 	if err != nil {
 		return err
--- a/cranberryd/node/node.go
+++ b/cranberryd/node/node.go
@@ -46,6 +46,8 @@
 	Dial   messenger.Dial
 	Clock  Clock
 	Logger log.Logger
+	// Unlogged returns the number of lines that were never written.
+	Unlogged func() int64
 }
 
 // Node is one process.
@@ -103,6 +105,7 @@
 		messenger: messenger.New("", messenger.DialTimeout(seams.Dial, peerDialTimeout)), recorder: recorder.New(), engine: gin.New(),
 		failed: make(chan error, 1),
 	}
+	p.recorder.Publish("log.lines-dropped", func() any { return seams.Unlogged() })
 	p.engine.Use(gin.Recovery())
 	p.engine.GET(varsPath, p.serveVars)
 	lifecycle.Append(fx.Hook{
--- a/cranberryd/node/node_test.go
+++ b/cranberryd/node/node_test.go
@@ -32,7 +32,8 @@
 	}
 	began := time.Now()
 	n, err := node.New(settings, node.Seams{
-		Listen: network.Listen, Dial: network.Dial(name), Logger: log.NewNopLogger(),
+		Unlogged: func() int64 { return 7 },
+		Listen:   network.Listen, Dial: network.Dial(name), Logger: log.NewNopLogger(),
 		Clock: func() time.Duration { return time.Since(began) },
 	})
 	if err != nil {
@@ -105,7 +106,7 @@
 		}
 		for _, wanted := range []string{
 			`"rules":true`, `"catalog-age-ms"`, `"pending"`, `"events.job-accepted"`, `"events.office-taken"`, `"jobs.cancelled"`,
-			`"name":"job","member":"a","class":"q.cancelled","count":1`, `"name":"commit"`,
+			`"name":"job","member":"a","class":"q.cancelled","count":1`, `"name":"commit"`, `"log.lines-dropped": 7`,
 		} {
 			if !strings.Contains(vars.String(), wanted) {
 				t.Errorf("metrics do not show %s: %s", wanted, vars.String())
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -19,8 +19,11 @@
 	done    chan struct{}
 	out     io.Writer
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// dropped counts the lines that were not written since that was last said,
+	// total all of them.
 	dropped int64
+	total   int64
 	// budget is the number of lines that may still be taken, refilled at the
 	// stated rate up to one second's worth.
 	budget   float64
@@ -59,7 +62,7 @@
 	select {
 	case l.lines <- line.Bytes():
 	default:
-		l.dropped++
+		l.count()
 	}
 	return nil
 }
@@ -72,7 +75,7 @@
 	l.budget = min(l.options.rate, l.budget+passed*l.options.rate)
 	l.refilled = now
 	if l.budget < 1 {
-		l.dropped++
+		l.count()
 		return false
 	}
 	l.budget--
@@ -82,7 +85,20 @@
 func (l *Logger) drop() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.count()
+}
+
+// count counts a line that is not written. The caller holds mu.
+func (l *Logger) count() {
 	l.dropped++
+	l.total++
+}
+
+// Total returns the number of lines that were never written.
+func (l *Logger) Total() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.total
 }
 
 // Dropped returns the number of events that were not written and not yet
