A key whose request still runs has one answer: outcome-unknown, with when to come back

Cause: the first send of a key was told 504 outcome-unknown at its deadline, a resend while the request still ran, or while it was being found out whether it had, 409 conflict at its own. Both are the same state. TestAnswerAfterDeadline asks while it runs; it failed before (409 against 504).

--- a/cranberryd/cluster/requests_test.go
+++ b/cranberryd/cluster/requests_test.go
@@ -193,6 +193,11 @@
 		if late.code() != "outcome-unknown" || time.Since(began) > time.Second {
 			t.Errorf("got %d %s after %s, want outcome-unknown at the deadline", late.status, late.body, time.Since(began))
 		}
+		// One state has one answer: a resend while it runs is told the same.
+		meanwhile := c.post("c", header, "late")
+		if meanwhile.status != late.status || meanwhile.code() != late.code() || meanwhile.header.Get("Retry-After") == "" || late.header.Get("Retry-After") == "" {
+			t.Errorf("resend meanwhile: got %d %s, want %d %s, both with when to come back", meanwhile.status, meanwhile.body, late.status, late.body)
+		}
 		header["Cranberry-Deadline-Ms"] = "5000"
 		again := c.post("c", header, "late")
 		if again.status != http.StatusOK || again.body != "done late" || c.runsOf("late") != 1 {
--- a/cranberryd/entry/requests.go
+++ b/cranberryd/entry/requests.go
@@ -211,7 +211,7 @@
 	switch {
 	case errors.Is(err, dispatcher.ErrNoSuchPlan):
 		problem.Status, problem.Code = http.StatusForbidden, responder.CodeNoSuchPlan
-	case errors.Is(err, claimer.ErrKeyReused), errors.Is(err, dispatcher.ErrInProgress):
+	case errors.Is(err, claimer.ErrKeyReused):
 		problem.Status, problem.Code = http.StatusConflict, responder.CodeConflict
 	case errors.Is(err, limiter.ErrOverloaded):
 		problem.Status, problem.Code = http.StatusTooManyRequests, responder.CodeOverloaded
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -28,7 +28,8 @@
 // ErrNoSuchPlan reports a plan that is not in force or not the caller's.
 var ErrNoSuchPlan = eris.New("no such plan")
 
-// ErrInProgress reports a key whose request is still being run.
+// ErrInProgress reports a key whose request is still being run, or of which it
+// is still being found out whether it has. Its outcome is unknown as yet.
 var ErrInProgress = eris.New("request with this key is in progress")
 
 // ErrAnswerGone reports a key whose request has run, or may have, and whose
--- a/dispatcher/keyed.go
+++ b/dispatcher/keyed.go
@@ -87,6 +87,9 @@
 	if err == nil {
 		return nil
 	}
+	if errors.Is(err, ErrInProgress) {
+		return &Refusal{Cause: err, RetryAfter: inProgressReturn}
+	}
 	return &Refusal{Cause: err}
 }
 
@@ -133,7 +136,7 @@
 	case r := <-finished:
 		return r.answer, r.err
 	case <-waitCtx.Done():
-		return connector.Answer{}, fmt.Errorf("deadline passed while it ran: %w", connector.ErrOutcomeUnknown)
+		return connector.Answer{}, fmt.Errorf("deadline passed while it ran: %w", ErrInProgress)
 	}
 }
 
