A refused resend of a key is not told "not run" while an earlier send may have run

Cause: an entry that refuses a keyed request before it has asked the claim group (no upstream, overload, deadline passed, stopping) said not-run, which promises that the request of the key has not run and will not. An earlier send at another entry may have. The test now shows the history of the key that fails.

--- a/claimer/group.go
+++ b/claimer/group.go
@@ -302,6 +302,42 @@
 	return false
 }
 
+// Confirm asks the group whether a key is claimed, and returns as soon as that
+// is certain: with a claim that any instance knows, or without one when a
+// majority knows of none. Any claim that was granted is known to a majority.
+func (c *Claimer) Confirm(ctx context.Context, id ID) (claim Claim, known, certain bool) {
+	if claim, known = c.Lookup(id); known {
+		return claim, true, true
+	}
+	answers := make(chan fetchAnswer, len(c.peers))
+	for _, peer := range c.peers {
+		go func() {
+			var answer fetchAnswer
+			if !c.call(ctx, peer, fetchPath, fetchMessage{ID: id}, &answer) {
+				answer = fetchAnswer{}
+			}
+			answers <- answer
+		}()
+	}
+	without := 0
+	if c.Ready() {
+		without++
+	}
+	for range c.peers {
+		if without >= c.majority() {
+			break
+		}
+		answer := <-answers
+		if answer.Known {
+			return answer.Claim, true, true
+		}
+		if answer.Ready {
+			without++
+		}
+	}
+	return Claim{}, false, without >= c.majority()
+}
+
 // Fetch asks the whole group for a claim and returns the one that says most.
 func (c *Claimer) Fetch(ctx context.Context, id ID) (Claim, bool) {
 	best, known := c.Lookup(id)
--- a/claimer/routes.go
+++ b/claimer/routes.go
@@ -54,6 +54,9 @@
 }
 
 type fetchAnswer struct {
+	// Ready says that the instance has recovered, so that it knows every claim
+	// that it has granted.
+	Ready bool  `json:"ready"`
 	Known bool  `json:"known"`
 	Claim Claim `json:"claim"`
 }
@@ -120,7 +123,7 @@
 		return
 	}
 	claim, known := c.Lookup(message.ID)
-	g.JSON(http.StatusOK, fetchAnswer{Known: known, Claim: claim})
+	g.JSON(http.StatusOK, fetchAnswer{Ready: c.Ready(), Known: known, Claim: claim})
 }
 
 func (c *Claimer) handleState(g *gin.Context) {
--- a/cranberryd/cluster/history_test.go
+++ b/cranberryd/cluster/history_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"sort"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -227,7 +229,22 @@
 		t.Errorf("only %d of %d sends were answered: the history proves little", answered, len(history))
 	}
 	model := atMostOnce.ToModel()
-	if !porcupine.CheckOperations(model, history) {
-		t.Errorf("history of %d sends can't be explained by requests that run at most once", len(history))
+	for _, part := range atMostOnce.Partition(history) {
+		if !porcupine.CheckOperations(model, part) {
+			t.Errorf("history of a key can't be explained by a request that runs at most once: %s", show(part))
+		}
+	}
+}
+
+// show writes the sends of a key in the order in which they were made.
+func show(part []porcupine.Operation) string {
+	sort.Slice(part, func(i, j int) bool { return part[i].Call < part[j].Call })
+	var text strings.Builder
+	for _, operation := range part {
+		request, _ := operation.Input.(sentRequest)
+		got, _ := operation.Output.(outcome)
+		fmt.Fprintf(&text, "\n%s by %d, %v to %v: %+v", request.key, operation.ClientId,
+			time.Duration(operation.Call), time.Duration(operation.Return), got)
 	}
+	return text.String()
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -233,7 +233,11 @@
 // up, any other goes on so that its answer can be kept.
 func (d *Dispatcher) Submit(ctx context.Context, request Request) (connector.Answer, error) {
 	if !d.enter() {
-		return connector.Answer{}, &Refusal{NotRun: true, Cause: ErrStopping, RetryAfter: d.options.stoppingWait}
+		refusal := &Refusal{NotRun: true, Cause: ErrStopping, RetryAfter: d.options.stoppingWait}
+		if request.keyed() {
+			return d.refuseKeyed(ctx, request, claimOf(request), "", refusal)
+		}
+		return connector.Answer{}, refusal
 	}
 	defer d.inFlight.Done()
 	started := time.Now()
@@ -274,7 +278,7 @@
 		return connector.Answer{}, &Refusal{NotRun: true, Cause: ErrNoSuchPlan}
 	}
 	d.budget.Request(request.Plan, time.Now())
-	if request.NonIdempotent && request.Key != "" {
+	if request.keyed() {
 		return d.submitKeyed(ctx, request, plan)
 	}
 	return d.runIdempotent(ctx, request, plan)
--- a/dispatcher/keyed.go
+++ b/dispatcher/keyed.go
@@ -12,13 +12,21 @@
 	"cranberrystack.dev/cranberrystack/identifier"
 )
 
-// submitKeyed runs a non-idempotent request at most once, or gives the answer
-// that an earlier send of it got.
-func (d *Dispatcher) submitKeyed(ctx context.Context, request Request, plan weights) (connector.Answer, error) {
-	wanted := claimer.Claim{
+// keyed reports whether the request runs at most once under its key.
+func (r *Request) keyed() bool { return r.NonIdempotent && r.Key != "" }
+
+// claimOf returns the claim that a request needs, for no attempt yet.
+func claimOf(request Request) claimer.Claim {
+	return claimer.Claim{
 		ID:     claimer.ID{Member: request.Member, Key: request.Key},
 		Digest: digest(request),
 	}
+}
+
+// submitKeyed runs a non-idempotent request at most once, or gives the answer
+// that an earlier send of it got.
+func (d *Dispatcher) submitKeyed(ctx context.Context, request Request, plan weights) (connector.Answer, error) {
+	wanted := claimOf(request)
 	if existing, known := d.claims.Lookup(wanted.ID); known {
 		answer, free, err := d.followClaim(ctx, request, wanted, existing)
 		if !free {
@@ -39,7 +47,7 @@
 	for {
 		at, err := d.admit(waitCtx, request, plan, avoid)
 		if err != nil {
-			return connector.Answer{}, d.refuseKeyed(err, wanted.ID, replaces)
+			return d.refuseKeyed(ctx, request, wanted, replaces, err)
 		}
 		attempt := newAttempt(request)
 		wanted.Attempt, wanted.Target = attempt.ID, at.target
@@ -69,12 +77,27 @@
 	}
 }
 
-// refuseKeyed gives the key back when no further attempt is made.
-func (d *Dispatcher) refuseKeyed(err error, id claimer.ID, held identifier.AttemptID) error {
+// refuseKeyed ends a send of which no further attempt is made, and gives a key
+// back that it holds. held names an attempt that has not run. A refusal
+// promises that the key's request has not run, so an earlier send of it that
+// this instance does not know of has to be ruled out first.
+func (d *Dispatcher) refuseKeyed(ctx context.Context, request Request, wanted claimer.Claim, held identifier.AttemptID, refusal error) (connector.Answer, error) {
 	if held != "" {
-		d.claims.Release(id, held)
+		d.claims.Release(wanted.ID, held)
+		return connector.Answer{}, refusal
+	}
+	claim, known, certain := d.claims.Confirm(ctx, wanted.ID)
+	if !certain {
+		return connector.Answer{}, unclaimed(fmt.Errorf("not run by this send (%v), whether by an earlier one is not known: %w", refusal, claimer.ErrNoQuorum))
+	}
+	if !known {
+		return connector.Answer{}, refusal
+	}
+	answer, free, err := d.followClaim(ctx, request, wanted, claim)
+	if free {
+		return connector.Answer{}, refusal
 	}
-	return err
+	return answer, err
 }
 
 // unclaimed is the refusal when the claim could not be settled. This send has
