A job of which nothing runs does not wait long for its data rack in an idle pool

A step waits for that rack as long as its estimate, and the pool may meanwhile be empty. Now 2 s at most while nothing of the job runs and 40 % or more of the accelerators are free. TestWaitForTheDataRackIsBounded: idle job, free pool failed before (0 runs after 2.1 s).

--- a/scheduler/board.go
+++ b/scheduler/board.go
@@ -246,9 +246,31 @@
 	if u.claims {
 		patience /= 4
 	}
+	if u.job.idle() && b.mostlyFree() {
+		patience = min(patience, idlePatience)
+	}
 	return u.waited >= patience
 }
 
+const (
+	// idlePatience bounds how long a job of which nothing runs waits for its
+	// rack while most of the pool is free.
+	idlePatience = 2 * time.Second
+	// mostlyFreeShare is the free part of a pool's accelerators that counts as
+	// most of it.
+	mostlyFreeShare = 0.4
+)
+
+// mostlyFree reports whether much of the pool's room is free.
+func (b *board) mostlyFree() bool {
+	free, total := int64(0), int64(0)
+	for _, r := range b.rooms {
+		free += max(0, r.free.Accelerators)
+		total += r.worker.Capacity.Accelerators
+	}
+	return float64(free) >= mostlyFreeShare*float64(total)
+}
+
 func (b *board) hasRack(rack string, u *unit) bool {
 	for _, r := range b.rooms {
 		if r.rack == rack && r.worker.Pool == u.job.Terms.Pool && u.step.Counted().Fits(r.worker.Capacity) {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -248,6 +248,18 @@
 	return &j.Request.Steps[id.Step], state, &state.Tasks[id.Index]
 }
 
+// idle reports whether none of the job's runs may be alive.
+func (j *Job) idle() bool {
+	for k := range j.Occurrences {
+		for i := range j.Occurrences[k].Steps {
+			if j.Occurrences[k].Steps[i].Live > 0 {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // ready reports whether the steps that a step depends on are done.
 func (j *Job) ready(occurrence, step int) bool {
 	for _, before := range j.Request.Steps[step].DependsOn {
--- a/scheduler/planner_test.go
+++ b/scheduler/planner_test.go
@@ -338,3 +338,44 @@
 		}
 	}
 }
+
+// A job waits for the rack of its data about as long as it would lose
+// elsewhere; but while nothing of it runs and most of the pool is free, no
+// longer than 2 s.
+func TestWaitForTheDataRackIsBounded(t *testing.T) {
+	tests := []struct {
+		name string
+		// busy is the number of accelerators in use in the other rack.
+		busy, after int
+		runs        int
+	}{
+		{"idle job, free pool, soon", 0, 1900, 0},
+		{"idle job, free pool", 0, 2100, 4},
+		{"idle job, busy pool", 24, 2100, 0},
+		{"idle job, busy pool, for long", 24, 9100, 4},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := newPool(t, 8)
+			full := tasks(32, 1)
+			full.DataRack = "r1-0"
+			p.submit(1, "plan", full)
+			p.plan()
+			if test.busy > 0 {
+				other := tasks(test.busy, 1)
+				other.DataRack = "r1-1"
+				p.submit(2, "plan", other)
+				p.plan()
+			}
+			step := tasks(4, 1)
+			step.DataRack, step.EstimateMillis = "r1-0", 9000
+			job := p.submit(3, "long", step)
+			p.plan()
+			p.now = p.now.Add(time.Duration(test.after) * time.Millisecond)
+			p.plan()
+			if runs := len(p.state.RunsOf(job)); runs != test.runs {
+				t.Errorf("%d runs after %d ms, want %d", runs, test.after, test.runs)
+			}
+		})
+	}
+}
