A run of an earlier office of the same term is not taken for one that was never sent

Cause, found by reading the last rounds: an instance that hands over in vain, or loses its lease for a moment, takes office again in the same term. It knew none of its earlier starts and would have dropped those runs, alive as they may be, as never sent. Now an office keeps the runs that it has placed itself; any other run of its term is waited for until the latest deadline that an earlier start can have, and stopped if its worker has started again.

--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -153,6 +153,7 @@
 	watch.Misses = 0
 	watch.Hear(look.Clock, now)
 	watch.AckSent = max(watch.AckSent, look.Acked)
+	c.adopt(lead, worker, watch, now)
 	c.noteRunning(lead, worker, watch, look, now)
 	c.pace(lead, worker)
 	note := c.newEnds(lead, worker, look, now)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -91,6 +91,9 @@
 	dropping map[identifier.WorkerID]bool
 	// assigning says that placements are being committed.
 	assigning bool
+	// proposed holds the runs that this office has placed and sent no start for.
+	// A run of the same term that is not in it may be that of an earlier office.
+	proposed map[scheduler.RunID]bool
 	// forgetting says that runs that were never sent are being forgotten.
 	forgetting bool
 	advising   map[scheduler.StepID]bool
@@ -253,6 +256,7 @@
 		observer: scheduler.NewObserver(now, c.options.maxLease, c.options.silence),
 		planner:  scheduler.NewPlanner(),
 		tries:    map[scheduler.RunID]*scheduler.Try{},
+		proposed: map[scheduler.RunID]bool{},
 		agents:   map[identifier.WorkerID]bool{},
 		dropping: map[identifier.WorkerID]bool{},
 		advising: map[scheduler.StepID]bool{},
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -29,6 +29,9 @@
 	commands := make([]scheduler.Command, len(plan.Assign))
 	for i := range plan.Assign {
 		commands[i].Assign = &plan.Assign[i]
+		for j := range plan.Assign[i].Runs {
+			lead.proposed[plan.Assign[i].Runs[j].ID] = true
+		}
 	}
 	lead.assigning = true
 	p := c.enqueue(lead.fence, commands...)
@@ -48,6 +51,7 @@
 	for i := range placed {
 		if results[i].Outcome != scheduler.OutcomeDone {
 			c.event("assign-stale", "step", placed[i].Runs[0].ID.Task.StepID(), "reason", results[i].Reason)
+			lead.notProposed(placed[i].Runs)
 			continue
 		}
 		c.noteWait(placed[i].Runs[0].ID)
@@ -72,6 +76,7 @@
 	c.event("start", "run", id, "worker", run.Worker, "term", uint64(lead.fence),
 		"version", c.state.Catalog().Version, "resumes", run.Checkpoint != "")
 	lead.tries[id] = &scheduler.Try{Calling: 1}
+	delete(lead.proposed, id)
 	c.attend(run.Worker)
 	go c.start(lead, *run, Destination{Worker: worker.ID, Address: worker.Address}, job.Request.Spec)
 }
@@ -83,10 +88,16 @@
 	if lead.forgetting {
 		return
 	}
-	runs := c.state.Unsent(lead.fence, lead.tries)
+	var runs []scheduler.RunID
+	for id := range lead.proposed {
+		if c.state.Run(id) != nil {
+			runs = append(runs, id)
+		}
+	}
 	if len(runs) == 0 {
 		return
 	}
+	scheduler.SortRuns(runs)
 	lead.forgetting = true
 	p := c.dropRuns(lead, runs, "never sent")
 	go func() {
@@ -97,6 +108,27 @@
 	}()
 }
 
+func (l *leadership) notProposed(runs []scheduler.Run) {
+	for i := range runs {
+		delete(l.proposed, runs[i].ID)
+	}
+}
+
+// adopt takes over the runs of an earlier office of the same term, whose starts
+// may still be carried out until their deadlines. The caller holds mu.
+func (c *Coordinator) adopt(lead *leadership, worker *scheduler.Worker, watch *scheduler.Watch, now time.Time) {
+	for id, run := range c.state.Placed(worker.ID) {
+		if run.Fence != lead.fence || lead.tries[id] != nil || lead.proposed[id] {
+			continue
+		}
+		lead.tries[id] = &scheduler.Try{Unanswered: true, Deadline: watch.Prolong(c.options.startLease, now)}
+		if run.Born < worker.Born {
+			// The deadline is of another clock.
+			c.orderStop(scheduler.Stop{Run: id, Cause: scheduler.CauseUnanswered, Reason: "start has no answer"}, now)
+		}
+	}
+}
+
 // dropRuns forgets runs that are certainly not alive. The caller holds mu.
 func (c *Coordinator) dropRuns(lead *leadership, runs []scheduler.RunID, reason string) *proposal {
 	for _, id := range runs {
@@ -158,6 +190,11 @@
 			delete(c.lead.tries, id)
 		}
 	}
+	for id := range c.lead.proposed {
+		if c.state.Job(id.Task.Job) == nil {
+			delete(c.lead.proposed, id)
+		}
+	}
 }
 
 // attend keeps an agent for a worker. The caller holds mu.
--- a/coordinator/unsent_test.go
+++ b/coordinator/unsent_test.go
@@ -13,9 +13,9 @@
 	"cranberrystack.dev/cranberrystack/scheduler"
 )
 
-// placedCoordinator is a leader that has placed a run in the log and has sent
-// no start yet.
-func placedCoordinator(t *testing.T) (*Coordinator, scheduler.RunID, *bytes.Buffer) {
+// placedCoordinator is a leader with a run of its term in the log, whose worker
+// may have started again since.
+func placedCoordinator(t *testing.T, again bool) (*Coordinator, scheduler.RunID, *bytes.Buffer) {
 	t.Helper()
 	var logged bytes.Buffer
 	c := &Coordinator{
@@ -24,21 +24,24 @@
 	}
 	now := time.Now()
 	c.lead = &leadership{
-		ctx: context.Background(), fence: 3, tries: map[scheduler.RunID]*scheduler.Try{},
+		ctx: context.Background(), fence: 3, tries: map[scheduler.RunID]*scheduler.Try{}, proposed: map[scheduler.RunID]bool{},
 		observer: scheduler.NewObserver(now, 6*time.Second, 4*time.Second),
 	}
 	run := scheduler.Run{ID: scheduler.RunID{Task: scheduler.TaskID{Job: "1"}, Number: 1}, Worker: "w", Born: 1}
 	catalog := `{"version":1,"queues":[{"name":"q","host":"h","path-prefix":"/q/","worker-pool":"p","priority":1,"max-attempts":2,"stretch":3,"objective-ms":1,"timeout-ms":1}],"pools":[{"name":"p"}],"teams":[]}`
 	worker := scheduler.Worker{ID: "w", Born: 1, Pool: "p", Address: "a", State: scheduler.WorkerReady}
-	reborn := worker
-	reborn.Born = 2
+	next := worker
+	next.Sequence++
+	if again {
+		next.Born++
+	}
 	request := scheduler.Request{Steps: []scheduler.Step{{Width: 1, EstimateMillis: 1000}}}
 	results := c.state.ApplyBatch(scheduler.Batch{Fence: 3, Now: wall(), Commands: []scheduler.Command{
 		{Configure: &scheduler.Configure{Document: []byte(catalog)}},
 		{Enlist: &worker},
 		{Submit: &scheduler.Submit{Job: "1", Queue: "q", Request: request}},
 		{Assign: &scheduler.Assign{Runs: []scheduler.Run{run}}},
-		{Enlist: &reborn},
+		{Enlist: &next},
 	}})
 	for i := range results {
 		if results[i].Outcome != scheduler.OutcomeDone {
@@ -50,7 +53,8 @@
 
 // The run and the report of its worker's next life are in one entry of the log.
 func TestRunOfAWorkerThatStartedAgainIsGivenOutAnew(t *testing.T) {
-	c, id, logged := placedCoordinator(t)
+	c, id, logged := placedCoordinator(t, true)
+	c.lead.proposed[id] = true
 	c.beginStart(c.lead, id)
 	c.dropUnsent(c.lead)
 	c.dropUnsent(c.lead)
@@ -68,9 +72,33 @@
 
 // Whatever a leader does not know of a run, it does not ask without a pause.
 func TestLooksAtAnUnknownRunAreSpaced(t *testing.T) {
-	c, id, _ := placedCoordinator(t)
+	c, id, _ := placedCoordinator(t, true)
 	watch := c.lead.observer.Watch("w", 1, time.Now())
 	if wait := c.lookWait(watch, c.state.Run(id).Worker); wait < settleWait {
 		t.Errorf("look waits %v, want %v", wait, settleWait)
 	}
 }
+
+// An instance that loses its office and takes it again in the same term knows
+// nothing of what it has sent before.
+func TestRunOfAnEarlierOfficeOfTheTermIsKeptUntilItCantStart(t *testing.T) {
+	c, id, _ := placedCoordinator(t, false)
+	c.dropUnsent(c.lead)
+	if len(c.queue) != 0 {
+		t.Fatalf("queue %+v: the run may be alive", c.queue)
+	}
+	now := time.Now()
+	worker := c.state.Worker("w")
+	watch := c.lead.observer.Watch("w", worker.Born, now)
+	watch.Hear(1000, now)
+	c.adopt(c.lead, worker, watch, now)
+	run := c.state.Run(id)
+	look := scheduler.Look{Sent: now.Add(time.Second), Born: run.Born, Clock: 1000 + scheduler.WorkerMilli(c.options.startLease.Milliseconds())}
+	if scheduler.Gone(run, c.lead.tries[id], &look, c.lead.fence) {
+		t.Error("gone, though its start may still be carried out")
+	}
+	look.Clock += 10
+	if !scheduler.Gone(run, c.lead.tries[id], &look, c.lead.fence) {
+		t.Error("not gone, though no start can be carried out any more")
+	}
+}
--- a/scheduler/tracker.go
+++ b/scheduler/tracker.go
@@ -102,15 +102,7 @@
 	return gone
 }
 
-// Unsent returns the runs that a leader has placed itself and has no try for,
-// in order.
-func (s *State) Unsent(fence Fence, tries map[RunID]*Try) []RunID {
-	var unsent []RunID
-	for id, run := range s.runs {
-		if run.Fence == fence && tries[id] == nil {
-			unsent = append(unsent, id)
-		}
-	}
-	sort.Slice(unsent, func(i, j int) bool { return less(unsent[i], unsent[j]) })
-	return unsent
+// SortRuns puts runs in the order of their jobs, tasks and numbers.
+func SortRuns(runs []RunID) {
+	sort.Slice(runs, func(i, j int) bool { return less(runs[i], runs[j]) })
 }
