--- a/coordinator/cluster_test.go
+++ b/coordinator/cluster_test.go
@@ -19,9 +19,6 @@
 	"cranberrystack.dev/cranberrystack/faker"
 	"cranberrystack.dev/cranberrystack/forwarder"
 	"cranberrystack.dev/cranberrystack/identifier"
-	"cranberrystack.dev/cranberrystack/journaler"
-	"cranberrystack.dev/cranberrystack/recorder"
-	"cranberrystack.dev/cranberrystack/replicator"
 	"cranberrystack.dev/cranberrystack/scheduler"
 )
 
@@ -61,15 +58,6 @@
 	dead   bool
 }
 
-type host struct {
-	cluster     *cluster
-	name        string
-	dir         string
-	coordinator *coordinator.Coordinator
-	forwarder   *forwarder.Forwarder
-	starts      int
-}
-
 func newCluster(t *testing.T, seed uint64, size int, setup func(*cluster)) *cluster {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -105,153 +93,6 @@
 	synctest.Wait()
 }
 
-func (h *host) start(bootstrap bool) {
-	c := h.cluster
-	c.mu.Lock()
-	c.down[h.name] = false
-	h.starts++
-	c.mu.Unlock()
-	files := journaler.DefaultFiles()
-	files.Sync = func(*os.File) error { return nil }
-	opened, err := coordinator.Open(coordinator.Config{
-		ID: identifier.InstanceID(h.name), Dir: h.dir, Address: h.name, ReportTo: h.name,
-		Seeds: c.seeds, Bootstrap: bootstrap, Voters: 3,
-		Transport: replicator.Transport{Send: h.send, Formation: h.formation},
-		Announce:  h.announce, Orders: c.world.Orders(h.name), Advise: c.advise, Machines: c.machines,
-		Recorder: recorder.New(), Logger: log.With(log.NewLogfmtLogger(log.NewSyncWriter(&lockedWriter{c: c})), "at", log.Valuer(func() any { return time.Since(c.began).Milliseconds() }), "host", h.name),
-	}, coordinator.Log(
-		replicator.HeartbeatInterval(120*time.Millisecond), replicator.ElectionTimeout(700*time.Millisecond),
-		replicator.CompactEntries(60), replicator.JournalOptions(journaler.WithFiles(files)),
-		replicator.Seed(uint64(len(h.name)+h.starts)*7919+uint64(h.name[len(h.name)-1])),
-	))
-	if err != nil {
-		c.t.Fatalf("open %s: %v", h.name, err)
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	h.coordinator = opened
-	h.forwarder = forwarder.New(forwarder.Config{
-		Address: h.name, Post: h.post, Get: h.get, NotSent: errCut, Local: opened.Handle,
-	}, c.seeds)
-}
-
-// running returns what runs on the host; the coordinator is nil if nothing
-// does.
-func (h *host) running() (*coordinator.Coordinator, *forwarder.Forwarder) {
-	h.cluster.mu.Lock()
-	defer h.cluster.mu.Unlock()
-	return h.coordinator, h.forwarder
-}
-
-type lockedWriter struct{ c *cluster }
-
-func (w *lockedWriter) Write(data []byte) (int, error) {
-	w.c.mu.Lock()
-	defer w.c.mu.Unlock()
-	return w.c.logs.Write(data)
-}
-
-// crash ends an instance without a word to the others. Its disk stays.
-func (h *host) crash() {
-	h.cluster.mu.Lock()
-	h.cluster.down[h.name] = true
-	h.cluster.mu.Unlock()
-	h.stop()
-}
-
-func (h *host) stop() {
-	running, _ := h.running()
-	if running == nil {
-		return
-	}
-	running.Stop()
-	h.cluster.mu.Lock()
-	h.coordinator = nil
-	h.cluster.mu.Unlock()
-	h.cluster.world.Disconnect(h.name)
-}
-
-func (h *host) wipe() {
-	if err := os.RemoveAll(h.dir); err != nil {
-		h.cluster.t.Fatal(err)
-	}
-}
-
-// reach returns the instance at an address, once the link has been crossed.
-func (h *host) reach(ctx context.Context, address string) (*coordinator.Coordinator, error) {
-	time.Sleep(linkDelay)
-	c := h.cluster
-	c.mu.Lock()
-	blocked := c.down[address] || c.down[h.name] || c.cut[[2]string{h.name, address}]
-	c.mu.Unlock()
-	for _, other := range c.hosts {
-		if running, _ := other.running(); other.name == address && !blocked && running != nil {
-			return running, nil
-		}
-	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(200 * time.Millisecond):
-	}
-	return nil, errCut
-}
-
-func (h *host) send(ctx context.Context, peer replicator.Peer, message replicator.Message) ([]replicator.Message, error) {
-	target, err := h.reach(ctx, peer.Address)
-	if err != nil {
-		return nil, err
-	}
-	return target.Node().Handle(ctx, message)
-}
-
-func (h *host) formation(ctx context.Context, peer replicator.Peer) (replicator.Formation, error) {
-	target, err := h.reach(ctx, peer.Address)
-	if err != nil {
-		return replicator.Formation{}, err
-	}
-	return target.Node().Formation(), nil
-}
-
-func (h *host) announce(ctx context.Context, address string, peer replicator.Peer) (forwarder.Status, error) {
-	target, err := h.reach(ctx, address)
-	if err != nil {
-		return forwarder.Status{}, err
-	}
-	return target.HandleAnnouncement(peer), nil
-}
-
-func (h *host) post(ctx context.Context, address, _ string, in, out any) error {
-	target, err := h.reach(ctx, address)
-	if err != nil {
-		return err
-	}
-	*out.(*forwarder.Answer) = target.Handle(ctx, in.(forwarder.Call))
-	return nil
-}
-
-func (h *host) get(ctx context.Context, address, _ string, out any) error {
-	target, err := h.reach(ctx, address)
-	if err != nil {
-		return err
-	}
-	*out.(*forwarder.Status) = target.Status()
-	return nil
-}
-
-// isolate cuts instances off from all others, or joins them again.
-func (c *cluster) isolate(cut bool, names ...string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, name := range names {
-		for _, other := range c.hosts {
-			if other.name != name {
-				c.cut[[2]string{name, other.name}] = cut
-				c.cut[[2]string{other.name, name}] = cut
-			}
-		}
-	}
-}
-
 func (c *cluster) addWorker(id identifier.WorkerID, capacity scheduler.Resources, rack string) *faker.TaskWorker {
 	worker := c.world.Worker(id, capacity, "a", rack)
 	c.mu.Lock()
