--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -120,9 +120,12 @@
 	if doubtful || c.state.Disturbed(id) {
 		return disturbedWait
 	}
-	return c.options.lookWait
+	return c.options.maxLease / looksPerLease
 }
 
+// looksPerLease is how often a lease is prolonged while it runs.
+const looksPerLease = 3
+
 // disturbedWait is how long a look waits where tasks that fill may disturb
 // tasks that serve, or where a run may stand still.
 const disturbedWait = 500 * time.Millisecond
--- a/coordinator/options.go
+++ b/coordinator/options.go
@@ -12,8 +12,6 @@
 	// DefaultStartLease is the time in which a start is accepted and for which
 	// it holds the worker's lease.
 	DefaultStartLease = 2500 * time.Millisecond
-	// DefaultLookWait is how long a look waits for an end.
-	DefaultLookWait = 2 * time.Second
 	// DefaultSilence is the time without a sign of life from which a worker
 	// gets no new runs.
 	DefaultSilence = 4 * time.Second
@@ -37,7 +35,6 @@
 type options struct {
 	maxLease    time.Duration
 	startLease  time.Duration
-	lookWait    time.Duration
 	silence     time.Duration
 	callTimeout time.Duration
 	dutyLease   time.Duration
@@ -53,7 +50,7 @@
 func newOptions(opts ...Option) options {
 	start := time.Now()
 	o := options{
-		maxLease: DefaultMaxLease, startLease: DefaultStartLease, lookWait: DefaultLookWait,
+		maxLease: DefaultMaxLease, startLease: DefaultStartLease,
 		silence: DefaultSilence, callTimeout: DefaultCallTimeout, dutyLease: DefaultDutyLease,
 		tick: DefaultTick, idleTick: DefaultIdleTick,
 		clock: func() time.Duration { return time.Since(start) },
--- a/scheduler/size_test.go
+++ b/scheduler/size_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -51,3 +52,26 @@
 		p.planner.Plan(p.state, p.observer, p.now, p.wall())
 	}
 }
+
+// BenchmarkSnapshot measures a snapshot at the size to design for, its bytes and
+// the heap that the state takes.
+func BenchmarkSnapshot(b *testing.B) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	p := sizedPool(b)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	size := 0
+	b.ResetTimer()
+	for range b.N {
+		data, err := p.state.Snapshot()
+		if err != nil {
+			b.Fatal(err)
+		}
+		size = len(data)
+	}
+	b.ReportMetric(float64(size), "B/snapshot")
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "B/state")
+	runtime.KeepAlive(p)
+}
