--- a/cranberryd/node/coordination.go
+++ b/cranberryd/node/coordination.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"os"
 	"path/filepath"
+	"time"
 
 	"go.uber.org/fx"
 
 	"cranberrystack.dev/cranberryd/loader"
 	"cranberrystack.dev/cranberrystack/coordinator"
 	"cranberrystack.dev/cranberrystack/forwarder"
+	"cranberrystack.dev/cranberrystack/journaler"
 	"cranberrystack.dev/cranberrystack/kernel"
 	"cranberrystack.dev/cranberrystack/platform"
 	"cranberrystack.dev/cranberrystack/recorder"
@@ -29,6 +32,19 @@
 	return recorder.Series{Name: string(kind), Class: string(code)}
 }
 
+// measuredFiles returns the files of the log; their syncs are measured.
+func (p *parts) measuredFiles() journaler.Files {
+	files := journaler.DefaultFiles()
+	sync := files.Sync
+	files.Sync = func(file *os.File) error {
+		start := time.Now()
+		err := sync(file)
+		_ = p.recorder.Observe(recorder.Series{Name: "sync"}, time.Since(start))
+		return err
+	}
+	return files
+}
+
 func runCoordination(lifecycle fx.Lifecycle, p *parts) error {
 	settings := p.settings
 	client := platform.NewClient(p.seams.Dial)
@@ -48,7 +64,8 @@
 		coordinator.Log(
 			replicator.HeartbeatInterval(settings.Control.HeartbeatInterval.Std()),
 			replicator.ElectionTimeout(settings.Control.ElectionTimeout.Std()),
-			replicator.CompactEntries(settings.Control.CompactEntries)))
+			replicator.CompactEntries(settings.Control.CompactEntries),
+			replicator.JournalOptions(journaler.WithFiles(p.measuredFiles()))))
 	if err != nil {
 		return err
 	}
--- a/cranberryd/node/node_test.go
+++ b/cranberryd/node/node_test.go
@@ -106,7 +106,7 @@
 		}
 		for _, wanted := range []string{
 			`"rules":true`, `"catalog-age-ms"`, `"pending"`, `"events.job-accepted"`, `"events.office-taken"`, `"jobs.cancelled"`,
-			`"name":"job","member":"a","class":"q.cancelled","count":1`, `"name":"commit"`, `"log.lines-dropped": 7`,
+			`"name":"job","member":"a","class":"q.cancelled","count":1`, `"name":"commit"`, `"name":"sync"`, `"log.lines-dropped": 7`,
 		} {
 			if !strings.Contains(vars.String(), wanted) {
 				t.Errorf("metrics do not show %s: %s", wanted, vars.String())
