--- a/cranberryd/command/node.go
+++ b/cranberryd/command/node.go
@@ -46,6 +46,7 @@
 	dialer := &net.Dialer{}
 	seams := node.Seams{
 		Listen: daemon.Listener, Dial: dialer.DialContext, Clock: node.BootClock, Logger: events, Unlogged: lines.Total,
+		SetLogRate: lines.SetRate,
 	}
 	n, err := node.New(settings, seams)
 	if err != nil {
--- a/cranberryd/loader/node.go
+++ b/cranberryd/loader/node.go
@@ -1,9 +1,13 @@
 package loader
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"os"
+	"slices"
 
 	"cranberrystack.dev/cranberrystack/identifier"
 )
@@ -79,6 +83,41 @@
 	Log      NodeLog     `json:"log"`
 }
 
+// reloadable are the settings that a running node takes over.
+var reloadable = []string{"seeds", "log", "memory-mib"}
+
+// startOnly are settings that matter at the first start alone.
+var startOnly = []string{"bootstrap"}
+
+// Changes returns the names of the settings in which next differs, in order:
+// those that a running node takes over, and those that need a restart.
+func (s *NodeSettings) Changes(next *NodeSettings) (taken, restart []string) {
+	old, fresh := s.fields(), next.fields()
+	for _, name := range slices.Sorted(maps.Keys(fresh)) {
+		if bytes.Equal(old[name], fresh[name]) || slices.Contains(startOnly, name) {
+			continue
+		}
+		if slices.Contains(reloadable, name) {
+			taken = append(taken, name)
+			continue
+		}
+		restart = append(restart, name)
+	}
+	return taken, restart
+}
+
+// fields returns each setting as JSON, by its name. One that is empty may be
+// left out.
+func (s *NodeSettings) fields() map[string]json.RawMessage {
+	fields := map[string]json.RawMessage{"advice": nil, "data-folder": nil, "machines": nil, "metrics": nil}
+	data, err := json.Marshal(s)
+	if err != nil {
+		return fields
+	}
+	_ = json.Unmarshal(data, &fields)
+	return fields
+}
+
 // SeedAddresses returns where the seeds are reached by other instances.
 func (s *NodeSettings) SeedAddresses() []string {
 	_, port, err := net.SplitHostPort(s.Address)
--- a/cranberryd/node/node.go
+++ b/cranberryd/node/node.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -48,6 +49,8 @@
 	Logger log.Logger
 	// Unlogged returns the number of lines that were never written.
 	Unlogged func() int64
+	// SetLogRate bounds the lines a second.
+	SetLogRate func(lines int)
 }
 
 // Node is one process.
@@ -79,12 +82,16 @@
 	failed chan error
 }
 
-// New assembles a node. Nothing is started yet but the recovery of what is on
-// disk.
-func New(settings *loader.NodeSettings, seams Seams) (*Node, error) {
+func limitMemory(settings *loader.NodeSettings) {
 	if settings.MemoryMiB > 0 {
 		debug.SetMemoryLimit(settings.MemoryMiB << 20 * memoryPart / 100)
 	}
+}
+
+// New assembles a node. Nothing is started yet but the recovery of what is on
+// disk.
+func New(settings *loader.NodeSettings, seams Seams) (*Node, error) {
+	limitMemory(settings)
 	n := &Node{settings: settings, logger: seams.Logger}
 	k, err := kernel.New([]string{settings.Role}, kernel.With(
 		fx.Supply(settings, seams),
@@ -211,12 +218,15 @@
 // Reload takes over new settings. What can't be changed while the process runs
 // is named in the log.
 func (n *Node) Reload(settings *loader.NodeSettings) {
+	taken, restart := n.settings.Changes(settings)
 	for _, set := range n.parts.setSeeds {
 		set(settings.SeedAddresses())
 	}
-	fixed := settings.Address != n.settings.Address || settings.Role != n.settings.Role ||
-		settings.Listen != n.settings.Listen || settings.DataFolder != n.settings.DataFolder
-	_ = n.logger.Log("event", "reloaded", "seeds", fmt.Sprint(settings.Seeds), "needs-restart", fixed)
+	n.parts.seams.SetLogRate(settings.Log.LinesPerSecond)
+	limitMemory(settings)
+	n.settings.Seeds, n.settings.Log, n.settings.MemoryMiB = settings.Seeds, settings.Log, settings.MemoryMiB
+	_ = n.logger.Log("event", "reloaded", "seeds", fmt.Sprint(settings.Seeds),
+		"taken", strings.Join(taken, ","), "needs-restart", strings.Join(restart, ","))
 }
 
 // Failed yields the error after which the process can't go on.
--- a/cranberryd/node/node_test.go
+++ b/cranberryd/node/node_test.go
@@ -32,8 +32,8 @@
 	}
 	began := time.Now()
 	n, err := node.New(settings, node.Seams{
-		Unlogged: func() int64 { return 7 },
-		Listen:   network.Listen, Dial: network.Dial(name), Logger: log.NewNopLogger(),
+		Unlogged: func() int64 { return 7 }, SetLogRate: func(int) {},
+		Listen: network.Listen, Dial: network.Dial(name), Logger: log.NewNopLogger(),
 		Clock: func() time.Duration { return time.Since(began) },
 	})
 	if err != nil {
@@ -150,3 +150,33 @@
 		})
 	}
 }
+
+func TestReloadSaysWhatItTakesOver(t *testing.T) {
+	text := fmt.Sprintf(nodeSettings, "n", "coordination", "h", "", "h", "/d")
+	tests := []struct{ name, old, next, taken, restart string }{
+		{"nothing", "", "", "", ""},
+		{"seeds", `["core-1:1"`, `["core-9:1"`, "seeds", ""},
+		{"rate", `"bootstrap"`, `"log":{"lines-per-second":7},"bootstrap"`, "log", ""},
+		{"memory", `"bootstrap"`, `"memory-mib":99,"bootstrap"`, "memory-mib", ""},
+		{"first start", `"bootstrap":true`, `"bootstrap":false`, "", ""},
+		{"address", `"h:7000"`, `"h:7001"`, "", "address"},
+		{"surroundings", `"metrics":"h:9464"`, `"advice":"a:1"`, "", "advice,metrics"},
+		{"log of the system", `"bootstrap"`, `"control":{"tolerated-losses":2},"bootstrap"`, "", "control"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			before, err := loader.LoadNode([]byte(text))
+			if err != nil {
+				t.Fatal(err)
+			}
+			after, err := loader.LoadNode([]byte(strings.Replace(text, test.old, test.next, 1)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			taken, restart := before.Changes(after)
+			if strings.Join(taken, ",") != test.taken || strings.Join(restart, ",") != test.restart {
+				t.Errorf("takes over %v, needs a restart for %v, want %q and %q", taken, restart, test.taken, test.restart)
+			}
+		})
+	}
+}
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -94,6 +94,13 @@
 	l.total++
 }
 
+// SetRate changes how many lines a second are written at most.
+func (l *Logger) SetRate(lines int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.options.rate = float64(lines)
+}
+
 // Total returns the number of lines that were never written.
 func (l *Logger) Total() int64 {
 	l.mu.Lock()
