Guarantees decide who goes first, and are reclaimed from other teams' urgent work

Any urgent work could hold what another team is guaranteed, and urgent work was never stopped, so a storm of one member kept another from its guarantee until it ended. Now a pass keeps what the urgent work of each team holds. What a guarantee covers goes first; it may stop, after everything else, what other teams' urgent or lasting work holds beyond their guarantees, never below them. Others use whatever is idle.

--- a/scheduler/board.go
+++ b/scheduler/board.go
@@ -35,6 +35,8 @@
 	byWorker map[identifier.WorkerID]*room
 	// stopped holds the runs that this pass has ordered to stop.
 	stopped map[RunID]bool
+	// ledger is what teams hold against their guarantees.
+	ledger *ledger
 	// reserve is the number of accelerators that are left to urgent work.
 	reserve int64
 }
@@ -55,7 +57,7 @@
 func newBoard(s *State, o *Observer, now time.Time, wall UnixMilli) *board {
 	b := &board{
 		state: s, observer: o, now: now, wall: wall,
-		byWorker: map[identifier.WorkerID]*room{}, stopped: map[RunID]bool{},
+		byWorker: map[identifier.WorkerID]*room{}, stopped: map[RunID]bool{}, ledger: newLedger(s, o),
 	}
 	for _, worker := range s.Workers() {
 		if !o.Sound(worker, now) {
@@ -132,16 +134,27 @@
 			continue
 		}
 		b.stopping(member)
+		b.bookRun(member, -1)
 		stops = append(stops, Stop{Run: member.ID, Cause: CausePreempted, Reason: "preempted for " + by.String()})
 	}
 	return stops
 }
 
+func (b *board) bookRun(run *Run, sign int) {
+	job := b.state.jobs[run.ID.Task.Job]
+	if job == nil {
+		return
+	}
+	step, _, _ := job.step(run.ID.Task)
+	b.ledger.book(job, step, sign)
+}
+
 // take books a task of a unit.
 func (b *board) take(r *room, u *unit) {
 	need := u.step.Counted()
 	r.free = r.free.Minus(need)
 	r.soon = r.soon.Minus(need)
+	b.ledger.book(u.job, u.step, 1)
 	r.count(u.step, u.id(), 1)
 	r.serves = r.serves || u.step.Serves()
 	r.fills = r.fills || u.step.Fills
@@ -151,6 +164,7 @@
 	need := u.step.Counted()
 	r.free = r.free.Plus(need)
 	r.soon = r.soon.Plus(need)
+	b.ledger.book(u.job, u.step, -1)
 	r.count(u.step, u.id(), -1)
 }
 
@@ -347,7 +361,7 @@
 		if !b.allowed(u, r) {
 			continue
 		}
-		runs, cost, fits := b.evict(r, need)
+		runs, cost, fits := b.evict(u, r, need)
 		cost += b.cost(u, task, r, Resources{})
 		if fits && (best == nil || cost < lowest) {
 			best, chosen, lowest = r, runs, cost
@@ -364,15 +378,16 @@
 }
 
 // evict returns the cheapest runs found whose end makes enough room.
-func (b *board) evict(r *room, need Resources) ([]*Run, float64, bool) {
+func (b *board) evict(u *unit, r *room, need Resources) ([]*Run, float64, bool) {
 	left := r.soon
+	c := newClaim()
 	var chosen []*Run
 	cost := 0.0
 	for _, run := range victims(b.state, b.observer, r.worker.ID, b.wall) {
 		if need.Fits(left) {
 			break
 		}
-		if b.stopped[run.ID] {
+		if b.stopped[run.ID] || !b.yields(u, run, c) {
 			continue
 		}
 		job := b.state.jobs[run.ID.Task.Job]
@@ -381,7 +396,8 @@
 			continue
 		}
 		left = left.Plus(step.Counted())
-		cost += lost(job, run, b.wall)
+		cost += stopCost(job, run, b.wall)
+		c.give(job, step, run.ID.Task.StepID())
 		chosen = append(chosen, run)
 	}
 	return chosen, cost, need.Fits(left)
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -162,5 +162,6 @@
 		if r, known := b.byWorker[run.Worker]; known {
 			r.soon = r.soon.Minus(b.state.StepOf(run.ID.Task).Counted())
 		}
+		b.bookRun(run, 1)
 	}
 }
--- a/scheduler/planner.go
+++ b/scheduler/planner.go
@@ -69,6 +69,8 @@
 	tasks      []int
 	// claims says that the unit may preempt.
 	claims bool
+	// guaranteed says that the guarantee of the unit's team covers it.
+	guaranteed bool
 	// rank orders units; a lower one goes first.
 	rank int
 	// due is by when the unit has to be done.
@@ -97,6 +99,7 @@
 	}
 	units := p.units(s, now, wall)
 	plan.Waiting = len(units)
+	units = board.ledger.mark(units)
 	board.reserve = p.reserve(s, units, board, now)
 	for _, u := range units {
 		if u.job.Terms.Advised && !o.Advised(u.id(), now) {
@@ -345,8 +348,8 @@
 	return cost
 }
 
-// victims returns the runs on a worker that a claim may end, those that lose
-// least first.
+// victims returns the runs on a worker that might end for a claim: what
+// neither claims nor lasts first, then those that lose least.
 func victims(s *State, o *Observer, id identifier.WorkerID, wall UnixMilli) []*Run {
 	type candidate struct {
 		run  *Run
@@ -355,13 +358,10 @@
 	var all []candidate
 	for _, run := range s.placed[id] {
 		job := s.jobs[run.ID.Task.Job]
-		if job == nil || o.Stopping(run) || job.Terms.Priority == 0 {
+		if job == nil || o.Stopping(run) {
 			continue
 		}
-		if step, _, _ := job.step(run.ID.Task); step.LongRunning {
-			continue
-		}
-		all = append(all, candidate{run: run, cost: lost(job, run, wall)})
+		all = append(all, candidate{run: run, cost: stopCost(job, run, wall)})
 	}
 	sort.Slice(all, func(i, j int) bool {
 		if all[i].cost != all[j].cost {
@@ -375,3 +375,16 @@
 	}
 	return runs
 }
+
+// claimedCost is added where work that claims or lasts would be stopped, more
+// than any other work could lose.
+const claimedCost = 1e12
+
+// stopCost returns what it costs to stop a run.
+func stopCost(job *Job, run *Run, wall UnixMilli) float64 {
+	cost := lost(job, run, wall)
+	if step, _, _ := job.step(run.ID.Task); step.LongRunning || job.Terms.Priority == 0 {
+		cost += claimedCost
+	}
+	return cost
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -132,6 +132,28 @@
 	return Resources{CPU: r.CPU - o.CPU, Memory: r.Memory - o.Memory, Accelerators: r.Accelerators - o.Accelerators}
 }
 
+// Times returns a multiple.
+func (r Resources) Times(factor int) Resources {
+	n := int64(factor)
+	return Resources{CPU: r.CPU * n, Memory: r.Memory * n, Accelerators: r.Accelerators * n}
+}
+
+// atLeast returns the larger of each.
+func (r Resources) atLeast(o Resources) Resources {
+	return Resources{CPU: max(r.CPU, o.CPU), Memory: max(r.Memory, o.Memory), Accelerators: max(r.Accelerators, o.Accelerators)}
+}
+
+// unnamedAs returns the resources, with those that are 0 taken from others.
+func (r Resources) unnamedAs(o Resources) Resources {
+	pick := func(own, other int64) int64 {
+		if own == 0 {
+			return other
+		}
+		return own
+	}
+	return Resources{CPU: pick(r.CPU, o.CPU), Memory: pick(r.Memory, o.Memory), Accelerators: pick(r.Accelerators, o.Accelerators)}
+}
+
 // Fits reports whether this much fits into that room.
 func (r Resources) Fits(room Resources) bool {
 	return r.CPU <= room.CPU && r.Memory <= room.Memory && r.Accelerators <= room.Accelerators
