--- a/coordinator/scenario_test.go
+++ b/coordinator/scenario_test.go
@@ -407,3 +407,18 @@
 		t.Errorf("%s gets no work after the cut", first)
 	})
 }
+
+// Another team's storm of urgent work holds the whole pool. What a team is
+// guaranteed begins within the time in which it is to be reclaimed.
+func TestStormOfAnotherTeamDoesNotTouchAGuarantee(t *testing.T) {
+	inCluster(t, 64, 4, 4, func(c *cluster) {
+		storm := c.submitCall("urgent", jobID(1), scheduler.Request{Spec: "s", Steps: []scheduler.Step{step(100, 60000, 1)}})
+		storm.Key = "key-of-team-b"
+		c.until(storm, time.Second)
+		time.Sleep(time.Second)
+		gang := step(2, 500, 8)
+		gang.Gang, gang.SameRack = true, true
+		c.submit("urgent", jobID(2), scheduler.Request{Spec: "s", Steps: []scheduler.Step{gang}})
+		c.waitFor("urgent", jobID(2), "completed", 2700*time.Millisecond)
+	})
+}
