A new leader is not taken for another change; silence makes a plan due; cuts hold answers back

TestSecondLossAfterReplacement (1 of 180 repeats, with -race): an operator's change of voters right after an election got 409 "another change of voters is under way", though there was none: the new leader had committed no entry of its term yet. That passes by itself, so the client now asks again (ErrNotSettled). TestCopyOfATaskOutOfReach: 12 s from the cut instead of under 6. Since plans are made only when something is new, a worker that fell silent made none due for up to 500 ms (TestPlanIsDueOnceSomethingIsNew). And the stand-in let the answer of a look pass through a cut if its wait was over, so that silence was noticed 2 s late; a cut holds answers back now. The bound of 6 s stands.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -258,12 +258,17 @@
 	return pools
 }
 
+// failed answers for what was not done. A leader that has not settled is not
+// named, so that the caller asks again.
 func failed(err error) proposeAnswer {
 	var notLeader *replicator.NotLeaderError
 	if errors.As(err, &notLeader) {
 		leader := notLeader.Leader
 		return proposeAnswer{Leader: &leader}
 	}
+	if eris.Is(err, replicator.ErrNotSettled) {
+		return proposeAnswer{Leader: &replicator.Peer{}}
+	}
 	if eris.Is(err, replicator.ErrLost) {
 		return proposeAnswer{Unknown: true}
 	}
--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -139,6 +139,7 @@
 	watch := lead.observer.Watch(id, born, time.Now())
 	watch.Misses++
 	if watch.Misses == 1 {
+		lead.planNow(c)
 		c.event("worker-silent", "worker", id, "born", int64(born), "heard-ms-ago", sinceMillis(watch.Heard), "error", err)
 	}
 }
@@ -154,6 +155,7 @@
 	now := time.Now()
 	watch := lead.observer.Watch(id, look.Born, now)
 	if watch.Misses > 0 {
+		lead.planNow(c)
 		c.event("worker-back", "worker", id, "misses", watch.Misses)
 	}
 	watch.Misses = 0
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -49,6 +49,13 @@
 	return applied != l.planned || l.waiting > 0 || now.Sub(l.plannedAt) >= planInterval
 }
 
+// planNow makes the next plan due at once, as more is known of the workers. The
+// caller holds mu.
+func (l *leadership) planNow(c *Coordinator) {
+	l.plannedAt = time.Time{}
+	c.poke()
+}
+
 // assigned sends the starts of what has been committed.
 func (c *Coordinator) assigned(lead *leadership, placed []scheduler.Assign, p *proposal) {
 	results, err := p.wait(lead.ctx)
--- a/coordinator/unsent_test.go
+++ b/coordinator/unsent_test.go
@@ -102,3 +102,29 @@
 		t.Error("not gone, though no start can be carried out any more")
 	}
 }
+
+func TestPlanIsDueOnceSomethingIsNew(t *testing.T) {
+	now := time.Now()
+	c := &Coordinator{wake: make(chan struct{}, 1)}
+	tests := []struct {
+		name  string
+		lead  leadership
+		after time.Duration
+		due   bool
+	}{
+		{"nothing is new", leadership{planned: 7, plannedAt: now}, 100 * time.Millisecond, false},
+		{"an entry was applied", leadership{planned: 6, plannedAt: now}, 0, true},
+		{"tasks wait", leadership{planned: 7, plannedAt: now, waiting: 1}, 0, true},
+		{"long ago", leadership{planned: 7, plannedAt: now}, planInterval, true},
+	}
+	for _, test := range tests {
+		if due := test.lead.planDue(7, now.Add(test.after)); due != test.due {
+			t.Errorf("%s: due %t", test.name, due)
+		}
+	}
+	lead := leadership{planned: 7, plannedAt: now}
+	lead.planNow(c)
+	if !lead.planDue(7, now) || len(c.wake) != 1 {
+		t.Error("a worker that falls silent makes no plan due")
+	}
+}
--- a/faker/tasks.go
+++ b/faker/tasks.go
@@ -239,7 +239,7 @@
 		return scheduler.Look{}, ErrNoAnswer
 	}
 	over := time.After(time.Duration(order.WaitMillis) * time.Millisecond)
-	for {
+	for waited := false; ; {
 		w.mu.Lock()
 		worker := w.workers[id]
 		if worker == nil || !worker.up || w.cut[caller][id] {
@@ -249,13 +249,14 @@
 		}
 		look, changed := worker.list(), worker.changed
 		w.mu.Unlock()
-		if len(look.Ended) > 0 {
+		if len(look.Ended) > 0 || waited {
 			return look, nil
 		}
 		select {
 		case <-changed:
 		case <-over:
-			return look, nil
+			// A cut holds the answer back too.
+			waited = true
 		case <-ctx.Done():
 			return scheduler.Look{}, ErrNoAnswer
 		}
--- a/replicator/core_test.go
+++ b/replicator/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -293,3 +294,15 @@
 	}
 	s.t.Fatalf("seed %d: no leader once the group is whole", seed)
 }
+
+// A leader that has just been elected may not know the newest membership. That
+// is no other change, and the caller may ask again.
+func TestNewLeaderRefusesChangesUntilItHasSettled(t *testing.T) {
+	s := newSchedule(t, 1, 3)
+	core := s.hosts["i0"].core
+	core.hard.Term = 1
+	core.role = RoleLeader
+	if _, _, err := core.ProposeChange(Change{Kind: ChangeAddLearner, Peer: Peer{ID: "i9"}}, s.now); !errors.Is(err, ErrNotSettled) {
+		t.Errorf("got %v, want ErrNotSettled", err)
+	}
+}
--- a/replicator/membership.go
+++ b/replicator/membership.go
@@ -34,9 +34,12 @@
 	if c.role != RoleLeader {
 		return Entry{}, c.take(), ErrNotLeader
 	}
-	if c.membershipIndex > c.commit || !c.committedOwnTerm() {
+	if c.membershipIndex > c.commit {
 		return Entry{}, c.take(), ErrChangePending
 	}
+	if !c.committedOwnTerm() {
+		return Entry{}, c.take(), ErrNotSettled
+	}
 	next, err := c.changed(change)
 	if err != nil {
 		return Entry{}, c.take(), err
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -26,6 +26,10 @@
 // ErrChangePending reports a change of voters while another is under way.
 var ErrChangePending = eris.New("another change of voters is under way")
 
+// ErrNotSettled reports a leader that has committed no entry of its own term
+// yet. It soon will, or lose its office.
+var ErrNotSettled = eris.New("leader has just been elected")
+
 // ErrNotCaughtUp reports a learner that lacks committed entries.
 var ErrNotCaughtUp = eris.New("learner has not caught up")
 
