--- a/coordinator/meter.go
+++ b/coordinator/meter.go
@@ -32,18 +32,16 @@
 // Meter returns how the system stands.
 func (c *Coordinator) Meter() Meter {
 	view := c.node.Leadership()
+	status := c.Status()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	meter := Meter{
-		Leader: view.Leader.Address, Rules: c.node.Rules(), Term: uint64(view.Term), Commit: view.Commit,
+		Leader: status.Leader, Members: status.Members, Rules: status.Rules, Term: uint64(view.Term), Commit: view.Commit,
 		Statistics: c.state.Statistics(), Queues: c.queueViews(), Waiting: len(c.queue),
 	}
 	if !c.configured.IsZero() {
 		meter.CatalogAgeMillis = time.Since(c.configured).Milliseconds()
 	}
-	for _, peer := range view.Membership.Members() {
-		meter.Members = append(meter.Members, peer.Address)
-	}
 	for _, silent := range view.Silent {
 		if silent.For > time.Second {
 			meter.SilentMembers++
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -118,12 +118,7 @@
 	scheduler.SortRuns(runs)
 	lead.forgetting = true
 	p := c.dropRuns(lead, runs, "never sent")
-	go func() {
-		_, _ = p.wait(lead.ctx)
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		lead.forgetting = false
-	}()
+	go c.whenDone(lead, p, func() { lead.forgetting = false })
 }
 
 func (l *leadership) notProposed(runs []scheduler.Run) {
@@ -184,17 +179,19 @@
 		c.event("leases-lapsed", "worker", worker.ID, "born", int64(worker.Born), "runs", len(drop.Runs), "term", uint64(lead.fence))
 		c.runsLost(drop.Runs, worker.ID, drop.Reason, lead)
 		lead.dropping[worker.ID] = true
-		go c.dropped(lead, worker.ID, c.enqueue(lead.fence, scheduler.Command{Drop: drop}))
+		p := c.enqueue(lead.fence, scheduler.Command{Drop: drop})
+		go c.whenDone(lead, p, func() { delete(lead.dropping, worker.ID) })
 	}
 	c.forgetTries()
 }
 
-// dropped waits until runs are forgotten, so that they are dropped once.
-func (c *Coordinator) dropped(lead *leadership, id identifier.WorkerID, p *proposal) {
+// whenDone calls a function under mu once it is known what became of a
+// proposal.
+func (c *Coordinator) whenDone(lead *leadership, p *proposal, then func()) {
 	_, _ = p.wait(lead.ctx)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(lead.dropping, id)
+	then()
 }
 
 func (c *Coordinator) forgetTries() {
--- a/cranberryd/loader/node.go
+++ b/cranberryd/loader/node.go
@@ -93,7 +93,10 @@
 // those that a running node takes over, and those that need a restart.
 func (s *NodeSettings) Changes(next *NodeSettings) (taken, restart []string) {
 	old, fresh := s.fields(), next.fields()
-	for _, name := range slices.Sorted(maps.Keys(fresh)) {
+	names := slices.Collect(maps.Keys(old))
+	names = slices.AppendSeq(names, maps.Keys(fresh))
+	slices.Sort(names)
+	for _, name := range slices.Compact(names) {
 		if bytes.Equal(old[name], fresh[name]) || slices.Contains(startOnly, name) {
 			continue
 		}
@@ -106,10 +109,9 @@
 	return taken, restart
 }
 
-// fields returns each setting as JSON, by its name. One that is empty may be
-// left out.
+// fields returns each setting as JSON, by its name.
 func (s *NodeSettings) fields() map[string]json.RawMessage {
-	fields := map[string]json.RawMessage{"advice": nil, "data-folder": nil, "machines": nil, "metrics": nil}
+	fields := map[string]json.RawMessage{}
 	data, err := json.Marshal(s)
 	if err != nil {
 		return fields
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -20,10 +20,10 @@
 	out     io.Writer
 
 	mu sync.Mutex
-	// dropped counts the lines that were not written since that was last said,
-	// total all of them.
-	dropped int64
-	total   int64
+	// total counts the lines that were not written, said those of them that were
+	// told in the log.
+	total int64
+	said  int64
 	// budget is the number of lines that may still be taken, refilled at the
 	// stated rate up to one second's worth.
 	budget   float64
@@ -62,7 +62,7 @@
 	select {
 	case l.lines <- line.Bytes():
 	default:
-		l.count()
+		l.total++
 	}
 	return nil
 }
@@ -75,7 +75,7 @@
 	l.budget = min(l.options.rate, l.budget+passed*l.options.rate)
 	l.refilled = now
 	if l.budget < 1 {
-		l.count()
+		l.total++
 		return false
 	}
 	l.budget--
@@ -85,12 +85,6 @@
 func (l *Logger) drop() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.count()
-}
-
-// count counts a line that is not written. The caller holds mu.
-func (l *Logger) count() {
-	l.dropped++
 	l.total++
 }
 
@@ -113,14 +107,14 @@
 func (l *Logger) Dropped() int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.dropped
+	return l.total - l.said
 }
 
-// told subtracts events that have been reported in the log.
+// told notes events that have been reported in the log.
 func (l *Logger) told(dropped int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.dropped -= dropped
+	l.said += dropped
 }
 
 func (l *Logger) write() {
--- a/scheduler/board.go
+++ b/scheduler/board.go
@@ -47,11 +47,17 @@
 	if u.claims || u.step.Checkpoints || u.step.Accelerators == 0 || b.reserve == 0 {
 		return true
 	}
-	free := int64(0)
+	free, _ := b.accelerators()
+	return free-u.step.Accelerators*int64(tasks) >= b.reserve
+}
+
+// accelerators returns how many are free, and how many there are.
+func (b *board) accelerators() (free, total int64) {
 	for _, r := range b.rooms {
 		free += max(0, r.free.Accelerators)
+		total += r.worker.Capacity.Accelerators
 	}
-	return free-u.step.Accelerators*int64(tasks) >= b.reserve
+	return free, total
 }
 
 func newBoard(s *State, o *Observer, now time.Time, wall UnixMilli) *board {
@@ -125,8 +131,8 @@
 	}
 }
 
-// preempted orders a run to stop for a task, and with it the whole gang that it belongs to,
-// whose other members are of no use without it.
+// preempted orders a run to stop for a task, and with it the whole gang that it
+// belongs to, whose other members are of no use without it.
 func (b *board) preempted(run *Run, by TaskID) []Stop {
 	var stops []Stop
 	for _, member := range b.state.members(run) {
@@ -264,17 +270,17 @@
 // patienceEnds reports whether a unit has waited for its rack for about as
 // long as it would lose elsewhere.
 func (b *board) patienceEnds(u *unit) bool {
-	if u.step.DataRack != "" && !b.hasRack(u.step.DataRack, u) {
-		return true
-	}
 	patience := time.Duration(u.step.EstimateMillis) * time.Millisecond
 	if u.claims {
 		patience /= 4
 	}
-	if u.job.idle() && b.mostlyFree() {
-		patience = min(patience, idlePatience)
+	switch {
+	case u.waited >= patience:
+		return true
+	case u.step.DataRack != "" && !b.hasRack(u.step.DataRack, u):
+		return true
 	}
-	return u.waited >= patience
+	return u.waited >= idlePatience && u.job.idle() && b.mostlyFree()
 }
 
 const (
@@ -288,11 +294,7 @@
 
 // mostlyFree reports whether much of the pool's room is free.
 func (b *board) mostlyFree() bool {
-	free, total := int64(0), int64(0)
-	for _, r := range b.rooms {
-		free += max(0, r.free.Accelerators)
-		total += r.worker.Capacity.Accelerators
-	}
+	free, total := b.accelerators()
 	return float64(free) >= mostlyFreeShare*float64(total)
 }
 
--- a/scheduler/guarantee.go
+++ b/scheduler/guarantee.go
@@ -19,25 +19,30 @@
 	for i := range s.catalog.Teams {
 		l.guarantees[s.catalog.Teams[i].Name] = s.catalog.Teams[i].Guarantee
 	}
+	s.eachUrgent(func(job *Job, step *Step, live int) { l.book(job, step, live) })
+	for _, watch := range o.watches {
+		for id := range watch.Stopping {
+			if job := s.active[id.Task.Job]; job != nil && s.runs[id] != nil {
+				l.book(job, s.StepOf(id.Task), -1)
+			}
+		}
+	}
+	return l
+}
+
+// eachUrgent visits each step of the urgent jobs that have not ended, with the
+// number of its runs that may be alive.
+func (s *State) eachUrgent(visit func(job *Job, step *Step, live int)) {
 	for _, job := range s.active {
 		if job.Terms.Priority != 0 {
 			continue
 		}
 		for k := range job.Occurrences {
 			for i := range job.Occurrences[k].Steps {
-				need := job.Request.Steps[i].Counted().Times(job.Occurrences[k].Steps[i].Live)
-				l.held[job.Team] = l.held[job.Team].Plus(need)
+				visit(job, &job.Request.Steps[i], job.Occurrences[k].Steps[i].Live)
 			}
 		}
 	}
-	for _, watch := range o.watches {
-		for id := range watch.Stopping {
-			if job := s.active[id.Task.Job]; job != nil && s.runs[id] != nil {
-				l.book(job, s.StepOf(id.Task), -1)
-			}
-		}
-	}
-	return l
 }
 
 // within reports whether a team's guarantee covers so much.
@@ -103,12 +108,13 @@
 // guaranteedRank is that of work that its team's guarantee covers.
 const guaranteedRank = -1
 
-// book notes that urgent work of a team takes or, with -1, gives room.
-func (l *ledger) book(job *Job, step *Step, sign int) {
+// book notes that so many runs of a team's urgent work take room or, below 0,
+// give it.
+func (l *ledger) book(job *Job, step *Step, runs int) {
 	if job.Terms.Priority != 0 {
 		return
 	}
-	l.held[job.Team] = l.held[job.Team].Plus(step.Counted().Times(sign))
+	l.held[job.Team] = l.held[job.Team].Plus(step.Counted().Times(runs))
 }
 
 // claim is what has been chosen so far to make room for a task.
--- a/scheduler/pacing.go
+++ b/scheduler/pacing.go
@@ -1,8 +1,6 @@
 package scheduler
 
 import (
-	"sort"
-
 	"cranberrystack.dev/cranberrystack/identifier"
 )
 
@@ -46,7 +44,7 @@
 			worst = max(worst, progress.Figure*100/step.TargetMillis)
 		}
 	}
-	sort.Slice(filling, func(i, j int) bool { return less(filling[i], filling[j]) })
+	SortRuns(filling)
 	var paces []Pace
 	for _, run := range filling {
 		share, known := current[run]
--- a/scheduler/planner.go
+++ b/scheduler/planner.go
@@ -138,28 +138,18 @@
 	}
 	p.peakAt = now
 	p.peak = max(p.peak, float64(urgent))
-	total := int64(0)
-	for _, r := range b.rooms {
-		total += r.worker.Capacity.Accelerators
-	}
+	_, total := b.accelerators()
 	return min(max(0, int64(p.peak)-held), int64(maxReserve*float64(total)))
 }
 
 // urgentHeld returns how many accelerators the runs of urgent jobs hold.
 func (s *State) urgentHeld() int64 {
 	held := int64(0)
-	for _, job := range s.active {
-		if job.Terms.Priority != 0 {
-			continue
+	s.eachUrgent(func(_ *Job, step *Step, live int) {
+		if !step.LongRunning {
+			held += step.Accelerators * int64(live)
 		}
-		for k := range job.Occurrences {
-			for i := range job.Occurrences[k].Steps {
-				if step := &job.Request.Steps[i]; !step.LongRunning {
-					held += step.Accelerators * int64(job.Occurrences[k].Steps[i].Live)
-				}
-			}
-		}
-	}
+	})
 	return held
 }
 
