coordinator: log runs that end with their worker's process

Now worker-restarted names the process, run-lost each of its runs, and explain shows them in the job's events. No decision changes.

--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -289,6 +289,22 @@
 	}
 }
 
+// logRestart logs the runs that ended with the process of their worker. The caller
+// holds mu.
+func (c *Coordinator) logRestart(lost []scheduler.LostRun) {
+	for i := range lost {
+		run := &lost[i]
+		if i == 0 || run.Worker != lost[i-1].Worker {
+			sinceContact := int64(-1)
+			if observation := c.lead.observer.Observation(run.Worker); observation != nil && observation.Incarnation == run.Incarnation {
+				sinceContact = millisSince(observation.LastContact)
+			}
+			c.event("worker-restarted", "worker", run.Worker, "incarnation", int64(run.Incarnation), "since-contact-ms", sinceContact, "runs", len(lost))
+		}
+		c.runEvent("run-lost", run.Run, run.Worker, "", "reason", "worker has restarted", "term", uint64(c.lead.fencingToken))
+	}
+}
+
 func (c *Coordinator) logEndedJobs(results []scheduler.Result) {
 	for i := range results {
 		for _, job := range results[i].Ended {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -210,6 +210,11 @@
 	if c.state.Catalog().Version != version {
 		c.catalogSince = time.Now()
 	}
+	if c.lead != nil {
+		for i := range results {
+			c.logRestart(results[i].Lost)
+		}
+	}
 	c.wakeLoop()
 	return results
 }
--- a/scheduler/apply.go
+++ b/scheduler/apply.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"sort"
 )
 
 // Apply decodes a log entry, applies it and returns one result per command.
@@ -326,9 +327,15 @@
 		}
 		replaced = append(replaced, other)
 	}
+	sort.Slice(replaced, func(i, j int) bool { return replaced[i].ID < replaced[j].ID })
+	result := Result{Outcome: OutcomeDone}
 	for _, other := range replaced {
+		result.Lost = append(result.Lost, s.recordRestart(other, &worker, now)...)
 		s.removeWorker(other)
 	}
+	if known != nil && known.Incarnation < worker.Incarnation {
+		result.Lost = append(result.Lost, s.recordRestart(known, &worker, now)...)
+	}
 	worker.Acked = 0
 	if known != nil && known.Incarnation == worker.Incarnation {
 		worker.Acked = known.Acked
@@ -338,7 +345,7 @@
 		worker.DrainingSince = now
 	}
 	s.workers[worker.ID] = &worker
-	return Result{Outcome: OutcomeDone}
+	return result
 }
 
 // conflictsWith reports whether two workers can't both be alive, because they
--- a/scheduler/command.go
+++ b/scheduler/command.go
@@ -106,6 +106,8 @@
 	Reason  string
 	// Ended holds the jobs that the command ended.
 	Ended []*Job
+	// Lost holds the runs that ended with a worker's earlier incarnation.
+	Lost []LostRun
 	// Phase is the phase of the submitted or cancelled job.
 	Phase Phase
 }
