--- a/coordinator/cluster_test.go
+++ b/coordinator/cluster_test.go
@@ -127,6 +127,20 @@
 	}
 }
 
+// restartCrashed lets workers that a task crashes start again after a time.
+func (c *cluster) restartCrashed(after time.Duration) {
+	c.workerCluster.OnCrash = func(worker *faker.TaskWorker) {
+		c.killWorker(worker.ID)
+		time.AfterFunc(after, func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.workers[worker.ID] = &workerState{
+				worker: c.workerCluster.AddWorker(worker.ID, worker.Capacity, worker.Labels...), state: scheduler.WorkerReady,
+			}
+		})
+	}
+}
+
 // orders returns the calls of an instance to the workers.
 func (c *cluster) orders(caller string) coordinator.Orders {
 	orders := c.workerCluster.Orders(caller)
--- a/faker/tasks.go
+++ b/faker/tasks.go
@@ -60,6 +60,11 @@
 	GangWait time.Duration
 	// MaxLease is the longest lease that a worker accepts.
 	MaxLease time.Duration
+	// CrashDelay says whether a task crashes each worker that starts it, and how long
+	// after the start. It may be nil.
+	CrashDelay func(scheduler.TaskID) (time.Duration, bool)
+	// OnCrash is called after a worker was crashed by a task. It may be nil.
+	OnCrash func(*TaskWorker)
 
 	mu      sync.Mutex
 	random  *rand.Rand
--- a/faker/taskworker.go
+++ b/faker/taskworker.go
@@ -199,10 +199,34 @@
 	}
 	t.running[order.Run] = &taskRun{token: order.FencingToken}
 	t.recordEvent(order.Run, "", order.FencingToken)
+	t.scheduleCrash(order.Run)
 	t.startWhenReady(order.Run, step)
 	return t.answer(coordinator.NotRefused)
 }
 
+// scheduleCrash crashes the worker later if the run's task does that. The task does
+// not crash the worker after the run has ended.
+func (t *TaskWorker) scheduleCrash(id scheduler.RunID) {
+	if t.cluster.CrashDelay == nil {
+		return
+	}
+	delay, crashes := t.cluster.CrashDelay(id.Task)
+	if !crashes {
+		return
+	}
+	time.AfterFunc(delay, func() {
+		t.cluster.mu.Lock()
+		_, running := t.running[id]
+		if running {
+			t.shutDown()
+		}
+		t.cluster.mu.Unlock()
+		if running && t.cluster.OnCrash != nil {
+			t.cluster.OnCrash(t)
+		}
+	})
+}
+
 func (t *TaskWorker) freeCapacity() scheduler.Resources {
 	free := t.Capacity
 	for id := range t.running {
