scheduler: give up tasks that crash the workers that start them

Callers saw: a task that crashes its worker was started on one worker after the other until its job was cancelled (14 starts in a minute), each time with the loss of all that ran beside it; its job stayed "running".

Cause: a run whose worker comes back as a new process is removed when that registers. No end is listed for it, and only ends as failed count as attempts, so that the task was new each time. The class of fault is an input that ends the process that handles it and is then handed to the next.

Change: the crash of a worker counts for the tasks that may have caused it. The leader sends with the registration of the next process which runs had certainly just been started, and which may have been; the count is in the log, so that it outlives leaders and restarts. A task is given up at three suspected crashes on two machines or more, or at five that count, and its job ends as failed with the reason. Until then it runs alone if possible, gets no copies, and preempts nothing after two.

Ruled out: a plain count of crashes under a task (TestTasksOnCrashingWorkersAreNotGivenUp failed with it: work on workers that crash by themselves was given up); the time since the last contact alone as the age of a run (the same test failed: polls are held for seconds).

--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -174,9 +174,11 @@
 func (c *Coordinator) recordMissedPoll(lead *leadership, id identifier.WorkerID, incarnation scheduler.UnixMilli, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	observation := lead.observer.Track(id, incarnation, time.Now())
+	now := time.Now()
+	observation := lead.observer.Track(id, incarnation, now)
 	observation.MissedPolls++
 	if observation.MissedPolls == 1 {
+		observation.MissedSince = now
 		lead.schedulePlan(c)
 		c.event("worker-unresponsive", "worker", id, "incarnation", int64(incarnation), "since-contact-ms", millisSince(observation.LastContact), "error", err)
 	}
@@ -224,7 +226,11 @@
 		sleepContext(lead.ctx, pollRetryDelay)
 		return
 	}
-	c.logEndedJobs(results)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range results {
+		c.logEndedJobs(results[i].Ended)
+	}
 }
 
 // recordRunning records the runs that a worker lists as alive, and stops those
@@ -289,9 +295,10 @@
 	}
 }
 
-// logRestart logs the runs that ended with the process of their worker. The caller
-// holds mu.
-func (c *Coordinator) logRestart(lost []scheduler.LostRun) {
+// logRestart logs the runs that ended with the process of their worker, and the jobs
+// that are given up for it. The caller holds mu.
+func (c *Coordinator) logRestart(result *scheduler.Result) {
+	lost := result.Lost
 	for i := range lost {
 		run := &lost[i]
 		if i == 0 || run.Worker != lost[i-1].Worker {
@@ -301,19 +308,19 @@
 			}
 			c.event("worker-restarted", "worker", run.Worker, "incarnation", int64(run.Incarnation), "since-contact-ms", sinceContact, "runs", len(lost))
 		}
-		c.runEvent("run-lost", run.Run, run.Worker, "", "reason", "worker has restarted", "term", uint64(c.lead.fencingToken))
+		c.runEvent("run-lost", run.Run, run.Worker, "", "reason", "worker has restarted", "suspected", run.Suspected, "term", uint64(c.lead.fencingToken))
+	}
+	if len(lost) > 0 {
+		c.logEndedJobs(result.Ended)
 	}
 }
 
-func (c *Coordinator) logEndedJobs(results []scheduler.Result) {
-	for i := range results {
-		for _, job := range results[i].Ended {
-			c.observeJobEnd(job)
-			c.mu.Lock()
-			c.flushJobTallies(job.ID)
-			c.mu.Unlock()
-			c.event("job-ended", "job", job.ID, "queue", job.Queue, "phase", job.Phase, "reason", job.Reason,
-				"took-ms", int64(job.Ended-job.Accepted), "objective-ms", job.ObjectiveMillis())
-		}
+// logEndedJobs logs and counts jobs that have ended. The caller holds mu.
+func (c *Coordinator) logEndedJobs(jobs []*scheduler.Job) {
+	for _, job := range jobs {
+		c.observeJobEnd(job)
+		c.flushJobTallies(job.ID)
+		c.event("job-ended", "job", job.ID, "queue", job.Queue, "phase", job.Phase, "reason", job.Reason,
+			"took-ms", int64(job.Ended-job.Accepted), "objective-ms", job.ObjectiveMillis())
 	}
 }
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -212,7 +212,7 @@
 	}
 	if c.lead != nil {
 		for i := range results {
-			c.logRestart(results[i].Lost)
+			c.logRestart(&results[i])
 		}
 	}
 	c.wakeLoop()
--- a/coordinator/deadly_task_test.go
+++ b/coordinator/deadly_task_test.go
@@ -113,21 +113,41 @@
 // Guards against giving up work because its workers crash for other reasons: tasks on
 // workers that crash by themselves, again and again, must complete.
 func TestTasksOnCrashingWorkersAreNotGivenUp(t *testing.T) {
-	inCluster(t, 250, 4, 8, func(c *cluster) {
-		gang := step(4, 5000, 8)
-		gang.Gang = true
-		c.submit("long", jobID(1), scheduler.Request{Spec: "s", Steps: []scheduler.Step{step(16, 5000, 2)}})
-		c.submit("urgent", jobID(2), scheduler.Request{Spec: "s", Steps: []scheduler.Step{gang}})
-		for round := range 8 {
-			time.Sleep(1700 * time.Millisecond)
-			for i := range 3 {
-				worker := c.workerNumber((round + 3*i) % 8)
-				c.addWorker(worker, scheduler.Resources{CPU: 64000, Memory: 128000, Accelerators: 8}, "r1-0")
+	tests := []struct {
+		name  string
+		crash func(c *cluster, id identifier.WorkerID)
+	}{
+		{"connections are closed", func(c *cluster, id identifier.WorkerID) {
+			c.mu.Lock()
+			worker := c.workers[id]
+			c.mu.Unlock()
+			if !worker.killed {
+				worker.worker.Crash()
 			}
-		}
-		c.waitForState("long", jobID(1), "completed", 60*time.Second)
-		c.waitForState("urgent", jobID(2), "completed", 60*time.Second)
-	})
+		}},
+		{"connections are silent", func(c *cluster, id identifier.WorkerID) {
+			c.addWorker(id, scheduler.Resources{CPU: 64000, Memory: 128000, Accelerators: 8}, "r1-0")
+		}},
+	}
+	for i, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			setup := func(c *cluster) { c.restartCrashed(time.Second) }
+			inClusterWith(t, uint64(250+i), 4, 8, setup, func(c *cluster) {
+				gang := step(4, 5000, 8)
+				gang.Gang = true
+				c.submit("long", jobID(1), scheduler.Request{Spec: "s", Steps: []scheduler.Step{step(16, 5000, 2)}})
+				c.submit("urgent", jobID(2), scheduler.Request{Spec: "s", Steps: []scheduler.Step{gang}})
+				for round := range 8 {
+					time.Sleep(1700 * time.Millisecond)
+					for i := range 3 {
+						test.crash(c, c.workerNumber((round+3*i)%8))
+					}
+				}
+				c.waitForState("long", jobID(1), "completed", 60*time.Second)
+				c.waitForState("urgent", jobID(2), "completed", 60*time.Second)
+			})
+		})
+	}
 }
 
 func (c *cluster) workerNumber(number int) identifier.WorkerID {
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -108,7 +108,7 @@
 	}
 	c.runEvent("start-ordered", id, run.Worker, "", "term", uint64(lead.fencingToken),
 		"catalog-version", c.state.Catalog().Version, "resumes", run.Checkpoint != "")
-	lead.attempts[id] = &scheduler.StartAttempt{CallsInFlight: 1}
+	lead.attempts[id] = &scheduler.StartAttempt{Ordered: time.Now(), CallsInFlight: 1}
 	delete(lead.unsentRuns, id)
 	c.ensurePolling(run.Worker)
 	go c.startRun(lead, *run, Destination{Worker: worker.ID, Address: worker.Address}, job.Request.Spec)
--- a/coordinator/workers.go
+++ b/coordinator/workers.go
@@ -82,7 +82,8 @@
 	if registered != nil {
 		previousIncarnation = registered.Incarnation
 	}
-	p := c.enqueue(0, scheduler.Command{Register: &worker})
+	suspicion := c.lead.observer.Suspicion(c.state, &worker, c.lead.attempts, time.Now())
+	p := c.enqueue(0, scheduler.Command{Register: &worker, Suspicion: suspicion})
 	c.mu.Unlock()
 	results, err := p.wait(ctx)
 	if err != nil {
--- a/faker/tasks.go
+++ b/faker/tasks.go
@@ -241,10 +241,12 @@
 		return scheduler.PollResult{}, coordinator.ErrOtherIncarnation
 	}
 	stale := false
+	var holder *TaskWorker
 	if _, err := c.call(ctx, caller, id, func(t *TaskWorker) coordinator.OrderAnswer {
 		if stale = t.refuseToken(order.FencingToken); stale {
 			return coordinator.OrderAnswer{}
 		}
+		holder = t
 		c.recordIncarnation(caller, t)
 		if order.Deadline > t.clock() {
 			t.renewLease(order.Deadline)
@@ -258,6 +260,10 @@
 	for timedOut := false; ; {
 		c.mu.Lock()
 		worker := c.workers[id]
+		if holder.crashed {
+			c.mu.Unlock()
+			return scheduler.PollResult{}, ErrNoAnswer
+		}
 		if worker == nil || !worker.up || c.partitioned[caller][id] {
 			c.mu.Unlock()
 			<-ctx.Done()
--- a/faker/taskworker.go
+++ b/faker/taskworker.go
@@ -39,6 +39,8 @@
 	changed chan struct{}
 	// reports is the sequence number of the last report.
 	reports int64
+	// crashed reports that the worker's connections were closed by a crash.
+	crashed bool
 	// late reports that the order being carried out is late.
 	late bool
 	// stalled reports that tasks make no progress, though the worker responds.
@@ -217,16 +219,26 @@
 	time.AfterFunc(delay, func() {
 		t.cluster.mu.Lock()
 		_, running := t.running[id]
-		if running {
-			t.shutDown()
-		}
 		t.cluster.mu.Unlock()
-		if running && t.cluster.OnCrash != nil {
-			t.cluster.OnCrash(t)
+		if running {
+			t.Crash()
 		}
 	})
 }
 
+// Crash ends the worker's process and closes its connections, so that polls that it
+// holds fail at once.
+func (t *TaskWorker) Crash() {
+	t.cluster.mu.Lock()
+	t.crashed = true
+	t.shutDown()
+	t.notify()
+	t.cluster.mu.Unlock()
+	if t.cluster.OnCrash != nil {
+		t.cluster.OnCrash(t)
+	}
+}
+
 func (t *TaskWorker) freeCapacity() scheduler.Resources {
 	free := t.Capacity
 	for id := range t.running {
--- a/scheduler/apply.go
+++ b/scheduler/apply.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"sort"
 )
 
 // Apply decodes a log entry, applies it and returns one result per command.
@@ -43,7 +42,7 @@
 	case command.Drop != nil:
 		return s.applyDrop(command.Drop, batch.Now)
 	case command.Register != nil:
-		return s.applyRegister(*command.Register, batch.Now)
+		return s.applyRegister(*command.Register, command.Suspicion, batch.Now)
 	case command.Leave != nil:
 		return s.applyLeave(command.Leave)
 	case command.Wave != nil:
@@ -198,6 +197,9 @@
 	if task == nil || task.Done {
 		return nil
 	}
+	if now-run.Assigned >= survivalTime {
+		task.Crashes = nil
+	}
 	job.saveCheckpoint(end.Run.Task, end.Checkpoint)
 	if end.Kind != EndDone {
 		job.addEvent(now, "%s ended on %s: %s", end.Run, record.Worker, end.Kind)
@@ -312,29 +314,25 @@
 // applyRegister applies a worker's report. It refuses a report older than the
 // last one, and that of a worker that has left or has been replaced by a later
 // incarnation or by a later worker at its address or on its machine.
-func (s *State) applyRegister(worker Worker, now UnixMilli) Result {
+func (s *State) applyRegister(worker Worker, suspicion *Suspicion, now UnixMilli) Result {
 	known := s.workers[worker.ID]
 	if known != nil && (worker.Incarnation < known.Incarnation || worker.Incarnation == known.Incarnation && (known.State == WorkerLeft || worker.Sequence < known.Sequence)) {
 		return Result{Outcome: OutcomeStale, Reason: "earlier incarnation or report"}
 	}
-	var replaced []*Worker
-	for _, other := range s.workers {
-		if other.ID == worker.ID || !other.conflictsWith(&worker) {
-			continue
-		}
+	replaced := s.replacedBy(&worker)
+	for _, other := range replaced {
 		if other.Incarnation > worker.Incarnation {
 			return Result{Outcome: OutcomeStale, Reason: "replaced by " + string(other.ID)}
 		}
-		replaced = append(replaced, other)
 	}
-	sort.Slice(replaced, func(i, j int) bool { return replaced[i].ID < replaced[j].ID })
 	result := Result{Outcome: OutcomeDone}
 	for _, other := range replaced {
-		result.Lost = append(result.Lost, s.recordRestart(other, &worker, now)...)
-		s.removeWorker(other)
-	}
-	if known != nil && known.Incarnation < worker.Incarnation {
-		result.Lost = append(result.Lost, s.recordRestart(known, &worker, now)...)
+		lost, ended := s.recordRestart(other, &worker, suspicion, now)
+		result.Lost = append(result.Lost, lost...)
+		result.Ended = append(result.Ended, ended...)
+		if other != known {
+			s.removeWorker(other)
+		}
 	}
 	worker.Acked = 0
 	if known != nil && known.Incarnation == worker.Incarnation {
--- a/scheduler/chooser.go
+++ b/scheduler/chooser.go
@@ -188,7 +188,7 @@
 		}
 		k.picked = nil
 	}
-	if k.pass.observer.avoidsAny(task) {
+	if k.pass.avoidsAny(k.unit, task) {
 		return k.nextAvoiding(task)
 	}
 	for len(k.heap) > 0 {
@@ -225,6 +225,7 @@
 	k.picked = c
 	if k.tentative != nil {
 		k.tentative[c] = k.tentative[c].Plus(k.unit.step.Demand())
+		c.runs++
 		c.countRuns(k.unit.step, k.unit.id(), 1)
 	}
 	return c
@@ -234,6 +235,7 @@
 // yielded.
 func (k *chooser) release(yielded []*candidate) {
 	for _, c := range yielded {
+		c.runs--
 		c.countRuns(k.unit.step, k.unit.id(), -1)
 	}
 }
--- a/scheduler/command.go
+++ b/scheduler/command.go
@@ -16,7 +16,7 @@
 	Commands    []Command `json:"commands"`
 }
 
-// Command changes the state. Exactly one field is set.
+// Command changes the state. Exactly one field is set, besides Suspicion.
 type Command struct {
 	Configure  *Configure  `json:"configure,omitempty"`
 	Submit     *Submit     `json:"submit,omitempty"`
@@ -25,9 +25,11 @@
 	RecordEnds *RecordEnds `json:"note,omitempty"`
 	Drop       *Drop       `json:"drop,omitempty"`
 	Register   *Worker     `json:"enlist,omitempty"`
-	Leave      *Leave      `json:"leave,omitempty"`
-	Wave       *Wave       `json:"wave,omitempty"`
-	Upkeep     *Upkeep     `json:"upkeep,omitempty"`
+	// Suspicion goes with Register; it may be nil.
+	Suspicion *Suspicion `json:"suspicion,omitempty"`
+	Leave     *Leave     `json:"leave,omitempty"`
+	Wave      *Wave      `json:"wave,omitempty"`
+	Upkeep    *Upkeep    `json:"upkeep,omitempty"`
 }
 
 // Configure offers a catalog, which takes effect if its version is higher than
--- a/scheduler/copies.go
+++ b/scheduler/copies.go
@@ -80,7 +80,7 @@
 		if len(units) >= limit {
 			break
 		}
-		if task := &state.Tasks[i]; task.Done || task.LiveRuns != 1 {
+		if task := &state.Tasks[i]; task.Done || task.LiveRuns != 1 || len(task.Crashes) > 0 {
 			continue
 		}
 		u := &unit{job: job, occurrence: occurrence, stepIndex: stepIndex, step: step, state: state, tasks: []int{i}}
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -1,17 +1,119 @@
 package scheduler
 
 import (
+	"fmt"
+	"slices"
 	"sort"
+	"time"
 
 	"cranberrystack.dev/cranberrystack/identifier"
 )
 
+const (
+	// maxSuspectedCrashes is the number of crashes that a task is suspected of at
+	// which it is given up, if they hit at least two machines.
+	maxSuspectedCrashes = 3
+	// maxCrashes is the number of crashes under a task at which it is given up, even
+	// if it is not known to have caused them.
+	maxCrashes = 5
+	// crashMemory is how long a crash counts after it was recorded.
+	crashMemory = UnixMilli(10 * 60 * 1000)
+	// survivalTime is how long a run must have lived to show that its task does not
+	// crash the workers that start it.
+	survivalTime = UnixMilli(10_000)
+	// suspectTime is how long a run must be known to have been alive so that it is not
+	// a likely cause of its worker's crash.
+	suspectTime = time.Second
+	// isolationTime is how long after its start a run of a suspected task keeps
+	// other runs off its worker.
+	isolationTime = UnixMilli(3000)
+)
+
+// WorkerCrash is a crash of a worker under a run of a task.
+type WorkerCrash struct {
+	At UnixMilli `json:"at"`
+	// Machine is the worker's machine, or its address if the machine is unknown.
+	Machine   MachineID `json:"machine"`
+	RunNumber int       `json:"run"`
+	// Suspected says that the run had just been started, and that no other run there
+	// is a likelier cause.
+	Suspected bool `json:"suspected,omitempty"`
+}
+
 // LostRun is a run that ended with the process of its worker.
 type LostRun struct {
 	Run RunID
 	// Worker and Incarnation are those of the process that has ended.
 	Worker      identifier.WorkerID
 	Incarnation UnixMilli
+	// Suspected says that the run is suspected of the worker's crash.
+	Suspected bool
+}
+
+// suspectedCrashes counts the crashes that a task is suspected of.
+func (t *TaskState) suspectedCrashes() int {
+	count := 0
+	for i := range t.Crashes {
+		if t.Crashes[i].Suspected {
+			count++
+		}
+	}
+	return count
+}
+
+// crashesOn counts the crashes of a worker's machine under a task.
+func (t *TaskState) crashesOn(worker *Worker) int {
+	count := 0
+	for i := range t.Crashes {
+		if t.Crashes[i].Machine == worker.crashMachine() {
+			count++
+		}
+	}
+	return count
+}
+
+// crashMachine returns the name under which crashes of the worker are recorded.
+func (w *Worker) crashMachine() MachineID {
+	if w.Machine == "" {
+		return MachineID(w.Address)
+	}
+	return w.Machine
+}
+
+// recordCrash adds a crash of a worker under a run of the task and drops those that
+// no longer count.
+func (t *TaskState) recordCrash(crash WorkerCrash) {
+	t.Crashes = slices.DeleteFunc(t.Crashes, func(c WorkerCrash) bool { return crash.At-c.At > crashMemory })
+	t.Crashes = append(t.Crashes, crash)
+}
+
+// crashesWorkers reports whether the task has to be given up because of the crashes
+// under it. Suspected crashes of one machine alone may be the machine's fault.
+func (t *TaskState) crashesWorkers() bool {
+	if len(t.Crashes) >= maxCrashes {
+		return true
+	}
+	machines := map[MachineID]bool{}
+	for i := range t.Crashes {
+		if t.Crashes[i].Suspected {
+			machines[t.Crashes[i].Machine] = true
+		}
+	}
+	return t.suspectedCrashes() >= maxSuspectedCrashes && len(machines) > 1
+}
+
+// replacedBy returns the known workers whose processes have ended if a worker's
+// report is true: its earlier incarnation, and workers at its address or on its
+// machine. They are in the order of their ids.
+func (s *State) replacedBy(worker *Worker) []*Worker {
+	var replaced []*Worker
+	for _, other := range s.workers {
+		if other.ID == worker.ID && other.Incarnation < worker.Incarnation || other.ID != worker.ID && other.conflictsWith(worker) {
+			replaced = append(replaced, other)
+		}
+	}
+	sort.Slice(replaced, func(i, j int) bool { return replaced[i].ID < replaced[j].ID })
+	return replaced
 }
 
 // runsOfIncarnation returns the runs that were assigned to an incarnation of a
@@ -27,15 +129,162 @@
 	return runs
 }
 
-// recordRestart records that an incarnation of a worker has been replaced by a
-// later one, and returns the runs that ended with it.
-func (s *State) recordRestart(old, next *Worker, now UnixMilli) []LostRun {
+// Suspicion names the runs that may have crashed their worker's process.
+type Suspicion struct {
+	// Likely holds the runs that had just been started.
+	Likely []RunID `json:"likely,omitempty"`
+	// Possible holds the runs that may have just been started, and, if nothing else
+	// explains the crash, those that had not.
+	Possible []RunID `json:"possible,omitempty"`
+}
+
+// Suspicion returns the runs that may have crashed the processes that a worker's
+// report shows to have ended. attempts holds the starts of this leader.
+func (o *Observer) Suspicion(s *State, worker *Worker, attempts map[RunID]*StartAttempt, now time.Time) *Suspicion {
+	var suspicion Suspicion
+	var older []RunID
+	for _, old := range s.replacedBy(worker) {
+		observation := o.observations[old.ID]
+		if observation == nil || observation.Incarnation != old.Incarnation {
+			observation = &WorkerObservation{}
+		}
+		for _, run := range s.runsOfIncarnation(old) {
+			switch observation.ageAtCrash(attempts[run.ID]) {
+			case ageYoung:
+				suspicion.Likely = append(suspicion.Likely, run.ID)
+			case ageUnknown:
+				suspicion.Possible = append(suspicion.Possible, run.ID)
+			case ageOld:
+				older = append(older, run.ID)
+			}
+		}
+	}
+	if len(suspicion.Likely) == 0 && !o.manyRestarts(s, worker, now) {
+		suspicion.Possible = append(suspicion.Possible, older...)
+	}
+	if len(suspicion.Likely)+len(suspicion.Possible) == 0 {
+		return nil
+	}
+	return &suspicion
+}
+
+// runAge says how long a run had been alive when its worker crashed.
+type runAge int
+
+const (
+	ageUnknown runAge = iota
+	// ageYoung is certainly less than suspectTime.
+	ageYoung
+	// ageOld is certainly suspectTime or more.
+	ageOld
+)
+
+// ageAtCrash returns the age of a run when its worker crashed, which was between the
+// last contact and the first poll without a response. attempt may be nil.
+func (w *WorkerObservation) ageAtCrash(attempt *StartAttempt) runAge {
+	if attempt == nil || attempt.Ordered.IsZero() {
+		if w.LastContact.IsZero() {
+			return ageUnknown
+		}
+		// The run is of an earlier leadership, and its worker outlived that.
+		return ageOld
+	}
+	switch {
+	case w.LastContact.Sub(attempt.Ordered) >= suspectTime:
+		return ageOld
+	case w.MissedPolls > 0 && w.MissedSince.Sub(attempt.Ordered) < suspectTime:
+		return ageYoung
+	}
+	return ageUnknown
+}
+
+// manyRestarts reports whether other workers have recently become unresponsive or
+// started, so that a crash is more likely one of several with a common cause.
+func (o *Observer) manyRestarts(s *State, worker *Worker, now time.Time) bool {
+	const window, many = 5 * time.Second, 2
+	count := 0
+	for id, observation := range o.observations {
+		other := s.workers[id]
+		if other == nil || other.ID == worker.ID || other.conflictsWith(worker) {
+			continue
+		}
+		if observation.MissedPolls > 0 || observation.firstSeen.After(o.Since) && now.Sub(observation.firstSeen) < window {
+			count++
+		}
+	}
+	return count >= many
+}
+
+// likely returns the runs that are suspected of their worker's crash: those of tasks
+// that were suspected before, if there are any, and otherwise all likely ones.
+func (s *State) likely(suspicion *Suspicion) map[RunID]bool {
+	all, repeated := map[RunID]bool{}, map[RunID]bool{}
+	for _, run := range suspicion.Likely {
+		all[run] = true
+		if s.suspected(run.Task) {
+			repeated[run] = true
+		}
+	}
+	if len(repeated) > 0 {
+		return repeated
+	}
+	return all
+}
+
+// suspected reports whether a task is suspected of crashes.
+func (s *State) suspected(id TaskID) bool {
+	task := s.taskOf(id)
+	return task != nil && task.suspectedCrashes() > 0
+}
+
+// taskOf returns the state of a task, or nil if it is unknown.
+func (s *State) taskOf(id TaskID) *TaskState {
+	job := s.jobs[id.Job]
+	if job == nil {
+		return nil
+	}
+	_, _, task := job.step(id)
+	return task
+}
+
+// recordRestart records that a worker's process has ended and another has taken its
+// place. Unless the worker was leaving, the crash counts for the tasks that may have
+// caused it. It returns the runs that ended, and the jobs that are given up.
+func (s *State) recordRestart(old, next *Worker, suspicion *Suspicion, now UnixMilli) ([]LostRun, []*Job) {
+	if suspicion == nil || old.State != WorkerReady || s.inUpkeep(old.Machine) {
+		suspicion = &Suspicion{}
+	}
+	likely := s.likely(suspicion)
 	var lost []LostRun
+	var ended []*Job
 	for _, run := range s.runsOfIncarnation(old) {
-		lost = append(lost, LostRun{Run: run.ID, Worker: old.ID, Incarnation: old.Incarnation})
-		if job := s.active[run.ID.Task.Job]; job != nil {
-			job.addEvent(now, "%s ended with its worker %s, which has restarted as %s", run.ID, old.ID, next.ID)
+		lost = append(lost, LostRun{Run: run.ID, Worker: old.ID, Incarnation: old.Incarnation, Suspected: likely[run.ID]})
+		job := s.active[run.ID.Task.Job]
+		if job == nil {
+			continue
+		}
+		job.addEvent(now, "%s ended with its worker %s, which has restarted as %s", run.ID, old.ID, next.ID)
+		_, _, task := job.step(run.ID.Task)
+		if task.Done || !likely[run.ID] && !slices.Contains(suspicion.Possible, run.ID) {
+			continue
+		}
+		task.recordCrash(WorkerCrash{At: now, Machine: old.crashMachine(), RunNumber: run.ID.Number, Suspected: likely[run.ID]})
+		if task.crashesWorkers() {
+			s.endJob(job, PhaseFailed, fmt.Sprintf("%s crashed %d workers", run.ID.Task, len(task.Crashes)), now)
+			ended = append(ended, job)
+		}
+	}
+	return lost, ended
+}
+
+// inUpkeep reports whether a machine may be down for upkeep.
+func (s *State) inUpkeep(machine MachineID) bool {
+	for _, wave := range s.waves {
+		for i := range wave.Machines {
+			if upkeep := &wave.Machines[i]; upkeep.Machine == machine && (upkeep.State == UpkeepOrdered || upkeep.State == UpkeepBegun) {
+				return true
+			}
 		}
 	}
-	return lost
+	return false
 }
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -231,6 +231,9 @@
 	Checkpoint string `json:"checkpoint,omitempty"`
 	// LiveRuns counts the runs that may be alive.
 	LiveRuns int `json:"live,omitempty"`
+	// Crashes holds the crashes of workers under runs of the task, until a run has
+	// lived for survivalTime and ended otherwise.
+	Crashes []WorkerCrash `json:"crashes,omitempty"`
 }
 
 func newJob(id identifier.JobID, queue *Queue, team identifier.TeamID, request Request, now UnixMilli) *Job {
--- a/scheduler/observer.go
+++ b/scheduler/observer.go
@@ -40,8 +40,10 @@
 	Sequence int64
 	// LastContact is when a message from this worker last arrived.
 	LastContact time.Time
-	// MissedPolls counts the consecutive polls without a response.
+	// MissedPolls counts the consecutive polls without a response, and MissedSince is
+	// when the first of them failed.
 	MissedPolls int
+	MissedSince time.Time
 	// AckConfirmed is the number of the last end whose acknowledgement the
 	// worker has confirmed.
 	AckConfirmed int64
--- a/scheduler/pass.go
+++ b/scheduler/pass.go
@@ -33,7 +33,11 @@
 	runsOfStep    map[StepID]int
 	hasServing    bool
 	hasBestEffort bool
-	likelyFaulty  bool
+	// runs counts the runs placed on the worker, and hasSuspect says that one of them
+	// has just started and may crash the worker.
+	runs         int
+	hasSuspect   bool
+	likelyFaulty bool
 	// recentFailures counts the jobs that have failed on the worker recently.
 	recentFailures int
 	// quiet says that the worker has not been in contact for a while.
@@ -98,6 +102,7 @@
 		}
 		for id, run := range s.placed[worker.ID] {
 			c.addRun(s, o, id, run)
+			c.hasSuspect = c.hasSuspect || wall-run.Assigned < isolationTime && s.suspected(id.Task)
 		}
 		p.candidates = append(p.candidates, c)
 		p.byWorker[worker.ID] = c
@@ -132,6 +137,7 @@
 		c.afterStops = c.afterStops.Minus(step.Demand())
 	}
 	c.countRuns(step, id.Task.StepID(), 1)
+	c.runs++
 	c.hasServing = c.hasServing || step.Serves()
 	c.hasBestEffort = c.hasBestEffort || step.BestEffort
 }
@@ -191,6 +197,8 @@
 	p.changeCapacity(c, need, need)
 	p.usage.charge(u.job, u.step, 1)
 	c.countRuns(u.step, u.id(), 1)
+	c.runs++
+	c.hasSuspect = c.hasSuspect || u.suspectedCrashes() > 0
 	c.hasServing = c.hasServing || u.step.Serves()
 	c.hasBestEffort = c.hasBestEffort || u.step.BestEffort
 }
@@ -198,6 +206,7 @@
 func (p *placementPass) unbook(c *candidate, u *unit) {
 	p.changeCapacity(c, u.step.Demand(), u.step.Demand())
 	p.usage.charge(u.job, u.step, -1)
+	c.runs--
 	c.countRuns(u.step, u.id(), -1)
 }
 
@@ -326,6 +335,7 @@
 	costLikelyFaulty   = 400
 	costRecentFailure  = 60
 	costAvoided        = 200
+	costSuspect        = 250
 	costQuiet          = 150
 	costInterference   = 100
 	costRemote         = 50
@@ -357,6 +367,12 @@
 	if task != nil && p.observer.Avoided(*task, c.worker.ID) {
 		cost += costAvoided
 	}
+	if c.hasSuspect {
+		cost += costSuspect
+	}
+	if task != nil {
+		cost += u.isolationCost(task.Index, c)
+	}
 	if u.step.Serves() && c.hasBestEffort || u.step.BestEffort && c.hasServing {
 		cost += costInterference
 	}
@@ -366,6 +382,22 @@
 	return cost
 }
 
+// isolationCost keeps a task that may crash its worker away from other runs, and away
+// from machines that have crashed under it.
+func (u *unit) isolationCost(index int, c *candidate) float64 {
+	task := &u.state.Tasks[index]
+	cost := costAvoided * float64(task.crashesOn(c.worker))
+	if c.runs > 0 && task.suspectedCrashes() > 0 {
+		cost += costSuspect
+	}
+	return cost
+}
+
+// avoidsAny reports whether the cost of a candidate depends on the task of the unit.
+func (p *placementPass) avoidsAny(u *unit, task TaskID) bool {
+	return len(u.state.Tasks[task.Index].Crashes) > 0 || p.observer.avoidsAny(task)
+}
+
 func fraction(part, whole int64) float64 {
 	if whole <= 0 {
 		return 0
--- a/scheduler/planner.go
+++ b/scheduler/planner.go
@@ -250,6 +250,15 @@
 	return u
 }
 
+// suspectedCrashes returns the most crashes that a task of the unit is suspected of.
+func (u *unit) suspectedCrashes() int {
+	most := 0
+	for _, index := range u.tasks {
+		most = max(most, u.state.Tasks[index].suspectedCrashes())
+	}
+	return most
+}
+
 // overdueRankPenalty is added to the rank of units whose job is so late that
 // completing it has no value any more.
 const overdueRankPenalty = 1000
@@ -261,6 +270,8 @@
 	u.rank = u.job.Policy.Priority
 	if u.step.LongRunning {
 		u.rank = 0
+	} else if u.suspectedCrashes() > 1 {
+		u.mayPreempt = false
 	}
 	objective := u.job.objectiveTime(u.occurrence)
 	u.latestStart = objective - UnixMilli(u.job.criticalPathMillis)
--- a/scheduler/tracker.go
+++ b/scheduler/tracker.go
@@ -8,6 +8,8 @@
 // StartAttempt is what the leader knows about its orders to start and to stop a
 // run, and about the run from workers' reports.
 type StartAttempt struct {
+	// Ordered is when the start of the run was first ordered.
+	Ordered time.Time
 	// CallsInFlight counts the start calls in flight.
 	CallsInFlight int
 	// Unanswered says that a start may still be carried out.
