coordinator: withhold starts that no longer fit a shrunk capacity

Change: a start is withheld (event start-withheld) and its run placed again while the runs that may be alive on its worker need more than the capacity. Contacts name the registration that they were compared with.

The catalogs of the planner's tests now say that their workers enforce capacity, as those of all sites do; otherwise the workers of these tests, which never report, would get no runs. TestUnreportedCapacityGetsNoRuns is the test of the other kind.

--- a/coordinator/cluster_test.go
+++ b/coordinator/cluster_test.go
@@ -200,7 +200,7 @@
 	sequence, clock := worker.NextReport()
 	data, err := json.Marshal(reportBody{
 		Pool: "pool", Address: string(id), DataCenter: "dc", State: string(state), Sequence: sequence,
-		Incarnation: int64(worker.Incarnation), Clock: int64(clock), Remaining: 10000, Machine: "m-" + string(id), Labels: worker.Labels, Capacity: worker.Capacity,
+		Incarnation: int64(worker.Incarnation), Clock: int64(clock), Remaining: 10000, Machine: "m-" + string(id), Labels: worker.Labels, Capacity: worker.CurrentCapacity(),
 	})
 	if err != nil {
 		c.t.Error(err)
--- a/coordinator/contacts.go
+++ b/coordinator/contacts.go
@@ -33,10 +33,13 @@
 // Contact is a report that changes nothing of a worker's registration, as another
 // instance passes it on to the leader.
 type Contact struct {
-	Worker      identifier.WorkerID   `json:"worker"`
-	Incarnation scheduler.UnixMilli   `json:"born"`
-	Sequence    int64                 `json:"sequence"`
-	Clock       scheduler.WorkerMilli `json:"clock-ms"`
+	Worker      identifier.WorkerID `json:"worker"`
+	Incarnation scheduler.UnixMilli `json:"born"`
+	Sequence    int64               `json:"sequence"`
+	// Registered is the sequence number of the registration that the report is
+	// equal to.
+	Registered int64                 `json:"registered"`
+	Clock      scheduler.WorkerMilli `json:"clock-ms"`
 	// AgeMillis is how long ago the report arrived.
 	AgeMillis int64 `json:"age-ms"`
 }
@@ -141,10 +144,14 @@
 	}
 	c.mu.Lock()
 	registered := c.state.Worker(worker.ID)
-	same := c.lead == nil && registered != nil && registered.SameRegistration(&worker)
+	if c.lead != nil || registered == nil || !registered.SameRegistration(&worker) {
+		c.mu.Unlock()
+		return false
+	}
+	sequence := registered.Sequence
 	c.mu.Unlock()
-	return same && c.contacts.add(Contact{
-		Worker: worker.ID, Incarnation: worker.Incarnation, Sequence: worker.Sequence, Clock: scheduler.WorkerMilli(r.Clock),
+	return c.contacts.add(Contact{
+		Worker: worker.ID, Incarnation: worker.Incarnation, Sequence: worker.Sequence, Registered: sequence, Clock: scheduler.WorkerMilli(r.Clock),
 	}, now)
 }
 
@@ -185,9 +192,18 @@
 	now := time.Now()
 	for i := range contacts {
 		contact := &contacts[i]
-		if worker := c.state.Worker(contact.Worker); worker != nil && worker.Incarnation == contact.Incarnation && worker.State != scheduler.WorkerLeft {
-			c.recordContact(worker, contact.Sequence, contact.Clock, now.Add(-time.Duration(max(0, contact.AgeMillis))*time.Millisecond), now)
+		worker := c.state.Worker(contact.Worker)
+		if worker == nil || worker.Incarnation != contact.Incarnation || worker.State == scheduler.WorkerLeft {
+			continue
+		}
+		at := now.Add(-time.Duration(max(0, contact.AgeMillis)) * time.Millisecond)
+		if contact.Registered == worker.Sequence {
+			c.recordContact(worker, contact.Sequence, contact.Clock, at, now)
+			continue
 		}
+		// The other instance has compared the report with an earlier registration, so
+		// that it shows only that the worker is alive.
+		c.lead.observer.Track(worker.ID, worker.Incarnation, now).RecordContact(contact.Clock, at)
 	}
 	return true
 }
--- a/coordinator/starter.go
+++ b/coordinator/starter.go
@@ -82,6 +82,10 @@
 	if observation.Incarnation != run.Incarnation {
 		return StartOrder{}, false
 	}
+	if worker := c.state.Worker(run.Worker); worker == nil || c.state.Overcommitted(worker) || !lead.observer.KnowsCapacity(c.state, worker, now) {
+		c.runEvent("start-withheld", run.ID, run.Worker, "", "reason", "capacity has shrunk or is unknown")
+		return StartOrder{}, false
+	}
 	deadline := observation.RenewLease(c.options.startLease, now)
 	attempt.Deadline = max(attempt.Deadline, deadline)
 	return StartOrder{
--- a/coordinator/workers.go
+++ b/coordinator/workers.go
@@ -116,7 +116,7 @@
 	if observation.Incarnation != worker.Incarnation || sequence <= observation.Sequence {
 		return
 	}
-	observation.Sequence = sequence
+	observation.Sequence, observation.ReportedAt = sequence, at
 	observation.RecordContact(clock, at)
 	if len(c.state.RunsOn(worker.ID)) > 0 || observation.MissedPolls > 0 {
 		c.ensurePolling(worker.ID)
--- a/faker/tasks.go
+++ b/faker/tasks.go
@@ -60,6 +60,9 @@
 	GangWait time.Duration
 	// MaxLease is the longest lease that a worker accepts.
 	MaxLease time.Duration
+	// CapacityGrace is how long after a worker's capacity has shrunk the former one
+	// still counts in ExceededCapacity.
+	CapacityGrace time.Duration
 	// CrashDelay says whether a task crashes each worker that starts it, and how long
 	// after the start. It may be nil.
 	CrashDelay func(scheduler.TaskID) (time.Duration, bool)
@@ -72,6 +75,8 @@
 	steps   map[scheduler.StepID]*scheduler.Step
 	history []TaskEvent
 	workers map[identifier.WorkerID]*TaskWorker
+	// exceeded holds the starts that brought workers over their capacity.
+	exceeded []scheduler.RunID
 	// partitioned holds the workers that each caller can't reach.
 	partitioned map[string]map[identifier.WorkerID]bool
 	// incarnations holds, by caller, the incarnation of each worker that last
@@ -135,6 +140,14 @@
 	return append([]TaskEvent(nil), c.history...)
 }
 
+// ExceededCapacity returns the runs whose start brought a worker that does not enforce
+// its capacity over it.
+func (c *TaskCluster) ExceededCapacity() []scheduler.RunID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]scheduler.RunID(nil), c.exceeded...)
+}
+
 // Running returns all runs that have started and not ended, in no order.
 func (c *TaskCluster) Running() []scheduler.RunID {
 	c.mu.Lock()
--- a/faker/taskworker.go
+++ b/faker/taskworker.go
@@ -19,8 +19,14 @@
 	Capacity    scheduler.Resources
 
 	// The fields below are guarded by the cluster's mu.
-	up    bool
-	start time.Time
+
+	// ignoresCapacity says that the worker starts runs beyond its capacity.
+	ignoresCapacity bool
+	// formerCapacities holds the capacities that were replaced, and until when each
+	// was in force.
+	formerCapacities []formerCapacity
+	up               bool
+	start            time.Time
 	// token is the highest fencing token seen.
 	token scheduler.FencingToken
 	// deadline is when the lease of all runs expires.
@@ -58,6 +64,11 @@
 	leaseExpiries int
 }
 
+type formerCapacity struct {
+	capacity scheduler.Resources
+	until    time.Time
+}
+
 type taskRun struct {
 	token       scheduler.FencingToken
 	timer       *time.Timer
@@ -196,8 +207,11 @@
 	if step == nil {
 		return t.answer(coordinator.RefusedInvalid)
 	}
-	if !step.Demand().Fits(t.freeCapacity()) {
-		return t.answer(coordinator.RefusedCapacity)
+	if !step.Demand().Fits(t.freeCapacity(t.Capacity)) {
+		if !t.ignoresCapacity {
+			return t.answer(coordinator.RefusedCapacity)
+		}
+		t.recordExcess(order.Run, step)
 	}
 	t.running[order.Run] = &taskRun{token: order.FencingToken}
 	t.recordEvent(order.Run, "", order.FencingToken)
@@ -239,8 +253,42 @@
 	}
 }
 
-func (t *TaskWorker) freeCapacity() scheduler.Resources {
-	free := t.Capacity
+// SetCapacity changes the worker's capacity, which its next report shows.
+func (t *TaskWorker) SetCapacity(capacity scheduler.Resources) {
+	t.cluster.mu.Lock()
+	defer t.cluster.mu.Unlock()
+	t.formerCapacities = append(t.formerCapacities, formerCapacity{capacity: t.Capacity, until: time.Now()})
+	t.Capacity = capacity
+}
+
+// CurrentCapacity returns the worker's capacity.
+func (t *TaskWorker) CurrentCapacity() scheduler.Resources {
+	t.cluster.mu.Lock()
+	defer t.cluster.mu.Unlock()
+	return t.Capacity
+}
+
+// IgnoreCapacity lets the worker start runs beyond its capacity.
+func (t *TaskWorker) IgnoreCapacity() {
+	t.cluster.mu.Lock()
+	defer t.cluster.mu.Unlock()
+	t.ignoresCapacity = true
+}
+
+// recordExcess records a start that exceeds the worker's capacity, unless it fits into
+// one that was in force within the grace period.
+func (t *TaskWorker) recordExcess(id scheduler.RunID, step *scheduler.Step) {
+	for _, former := range t.formerCapacities {
+		if time.Since(former.until) <= t.cluster.CapacityGrace && step.Demand().Fits(t.freeCapacity(former.capacity)) {
+			return
+		}
+	}
+	t.cluster.exceeded = append(t.cluster.exceeded, id)
+}
+
+// freeCapacity returns what the worker's runs leave of a capacity.
+func (t *TaskWorker) freeCapacity(capacity scheduler.Resources) scheduler.Resources {
+	free := capacity
 	for id := range t.running {
 		if step := t.cluster.steps[id.Task.StepID()]; step != nil {
 			free = free.Minus(step.Demand())
--- a/scheduler/catalog.go
+++ b/scheduler/catalog.go
@@ -49,9 +49,10 @@
 type Pool struct {
 	Name PoolName `json:"name"`
 	// EnforcesCapacity says that the workers refuse runs that exceed their
-	// capacity. It is accepted but not used, and so is Standby.
+	// capacity. All others get new runs only while their reports are recent.
 	EnforcesCapacity bool `json:"guards-capacity"`
-	Standby          bool `json:"standby"`
+	// Standby is accepted but not used.
+	Standby bool `json:"standby"`
 }
 
 // Team is a customer with keys and a guarantee.
--- a/scheduler/guarantee_test.go
+++ b/scheduler/guarantee_test.go
@@ -16,7 +16,7 @@
 	document := `{"version":2,"queues":[
 {"name":"urgent","host":"h","path-prefix":"/u/","worker-pool":"p","priority":0,"max-attempts":2,"stretch":1.5,"objective-ms":300,"timeout-ms":1},
 {"name":"long","host":"h","path-prefix":"/l/","worker-pool":"p","priority":2,"max-attempts":2,"stretch":3,"objective-ms":1000,"timeout-ms":1}],
-"pools":[{"name":"p"}],"teams":[{"name":"a","keys":["k"],"guarantee":{"accelerators":16}},{"name":"b","keys":["l"],"guarantee":{"accelerators":8}}]}`
+"pools":[{"name":"p","guards-capacity":true}],"teams":[{"name":"a","keys":["k"],"guarantee":{"accelerators":16}},{"name":"b","keys":["l"],"guarantee":{"accelerators":8}}]}`
 	if result := p.apply(Command{Configure: &Configure{Document: []byte(document)}}); result[0].Outcome != OutcomeDone {
 		t.Fatalf("configure: %+v", result[0])
 	}
--- a/scheduler/observer.go
+++ b/scheduler/observer.go
@@ -38,8 +38,10 @@
 	firstSeen time.Time
 	// Sequence is the sequence number of the newest report.
 	Sequence int64
-	// LastContact is when a message from this worker last arrived.
+	// LastContact is when a message from this worker last arrived, and ReportedAt when
+	// the newest report did, which tells its capacity.
 	LastContact time.Time
+	ReportedAt  time.Time
 	// MissedPolls counts the consecutive polls without a response, and MissedSince is
 	// when the first of them failed.
 	MissedPolls int
@@ -245,6 +247,17 @@
 	return time.Duration(float64(lease)/minClockRate) + leaseEndMargin
 }
 
+// KnowsCapacity reports whether the capacity of a worker is known well enough for new
+// runs. A worker that enforces its capacity refuses what does not fit; of any other,
+// the newest report must be recent, since its capacity may have shrunk.
+func (o *Observer) KnowsCapacity(s *State, worker *Worker, now time.Time) bool {
+	if pool := s.catalog.Pool(worker.Pool); pool != nil && pool.EnforcesCapacity {
+		return true
+	}
+	observation, known := o.observations[worker.ID]
+	return known && observation.Incarnation == worker.Incarnation && now.Sub(observation.ReportedAt) < quietTime
+}
+
 // Schedulable reports whether a worker may get new runs.
 func (o *Observer) Schedulable(worker *Worker, now time.Time) bool {
 	if worker.State != WorkerReady || o.Cordoned[worker.ID] {
--- a/scheduler/pass.go
+++ b/scheduler/pass.go
@@ -92,7 +92,7 @@
 		byWorker: map[identifier.WorkerID]*candidate{}, stopped: map[*Run]bool{}, usage: newTeamUsage(s, o),
 	}
 	for _, worker := range s.Workers() {
-		if !o.Schedulable(worker, now) {
+		if !o.Schedulable(worker, now) || !o.KnowsCapacity(s, worker, now) {
 			continue
 		}
 		c := &candidate{
--- a/scheduler/planner_test.go
+++ b/scheduler/planner_test.go
@@ -24,7 +24,7 @@
 {"name":"urgent","host":"h","path-prefix":"/u/","worker-pool":"p","priority":0,"max-attempts":2,"stretch":1.5,"objective-ms":300,"timeout-ms":1},
 {"name":"plan","host":"h","path-prefix":"/p/","worker-pool":"p","priority":1,"max-attempts":2,"stretch":3,"objective-ms":1000,"timeout-ms":1},
 {"name":"long","host":"h","path-prefix":"/l/","worker-pool":"p","priority":2,"max-attempts":2,"stretch":3,"objective-ms":1000,"timeout-ms":1}],
-"pools":[{"name":"p"}],"teams":[{"name":"a","keys":["k"],"guarantee":{"accelerators":16}}]}`
+"pools":[{"name":"p","guards-capacity":true}],"teams":[{"name":"a","keys":["k"],"guarantee":{"accelerators":16}}]}`
 
 func newPool(t *testing.T, workers int) *testPool {
 	p := &testPool{t: t, state: NewState(), planner: NewPlanner(), now: time.Unix(1000, 0)}
@@ -381,3 +381,29 @@
 		})
 	}
 }
+
+// Guards against new runs on workers that start whatever they are told to, while
+// nobody knows whether their capacity has shrunk.
+func TestUnreportedCapacityGetsNoRuns(t *testing.T) {
+	tests := []struct {
+		name     string
+		enforces bool
+		age      time.Duration
+		want     bool
+	}{
+		{"enforced", true, time.Minute, true},
+		{"recent report", false, time.Second, true},
+		{"old report", false, 3 * time.Second, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := newPool(t, 1)
+			p.state.catalog.Pools[0].EnforcesCapacity = test.enforces
+			p.observer.Observation("w00").ReportedAt = p.now.Add(-test.age)
+			p.submit(1, "long", tasks(1, 1))
+			if got := len(p.plan().Assign) > 0; got != test.want {
+				t.Errorf("a run is placed: %t, want %t", got, test.want)
+			}
+		})
+	}
+}
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -158,6 +158,18 @@
 // change the map.
 func (s *State) RunsOn(id identifier.WorkerID) map[RunID]*Run { return s.placed[id] }
 
+// Overcommitted reports whether the runs that may be alive on a worker need more than
+// its capacity, which may have shrunk since they were assigned.
+func (s *State) Overcommitted(worker *Worker) bool {
+	var used Resources
+	for id := range s.placed[worker.ID] {
+		if step := s.StepOf(id.Task); step != nil {
+			used = used.Plus(step.Demand())
+		}
+	}
+	return !used.Fits(worker.Capacity)
+}
+
 // Wave returns a wave, or nil if it is unknown.
 func (s *State) Wave(id WaveID) *Wave { return s.waves[id] }
 
