scheduler: count crashes of workers that return after their leases have ended

A worker that takes longer to start again than its leases last (8 s, or the platform's bound) was dropped from the crash count: its runs had been given up as of a silent worker before the next process registered, so that a task that crashed such workers was started without end.

Change: when the leases of a silent worker have ended, the runs that may have crashed it are kept with its registration. They count when the next process registers, and are forgotten when the worker lists their ends, which shows that it was only unreachable.

Ruled out: counting them at once; a partition would then count as a crash.

TestDeadlyTaskIsGivenUp/restart_after_the_leases_have_ended: the job was running after 60 s before, and fails within five starts now.

--- a/coordinator/deadly_task_test.go
+++ b/coordinator/deadly_task_test.go
@@ -34,6 +34,9 @@
 		step   scheduler.Step
 		faults faker.TaskFaults
 		fault  func(c *cluster)
+		// restart is how long a crashed worker takes to start again; crashRestartTime
+		// if 0.
+		restart time.Duration
 	}{
 		{name: "tasks", queue: "long", step: step(3, 2000, 2)},
 		{name: "urgent", queue: "urgent", step: step(3, 2000, 2)},
@@ -43,11 +46,12 @@
 		{name: "late orders", queue: "long", step: step(3, 2000, 2), faults: faker.TaskFaults{LateProbability: 0.1, LateDelay: 4 * time.Second}},
 		{name: "leaders crash", queue: "long", step: step(3, 2000, 2), fault: crashLeaders},
 		{name: "all restart", queue: "urgent", step: gang, fault: restartAll},
+		{name: "restart after the leases have ended", queue: "long", step: step(3, 2000, 2), restart: 9 * time.Second},
 	}
 	for i, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			setup := func(c *cluster) {
-				c.restartCrashed(crashRestartTime)
+				c.restartCrashed(max(test.restart, crashRestartTime))
 				c.workerCluster.CrashDelay = func(task scheduler.TaskID) (time.Duration, bool) {
 					return crashDelay, task.Job == jobID(1) && task.Index == 1
 				}
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -184,7 +184,9 @@
 		if !lead.observer.LeasesExpired(worker.ID, now) {
 			continue
 		}
-		drop := &scheduler.Drop{Reason: "leases have ended"}
+		drop := &scheduler.Drop{
+			Reason: "leases have ended", Suspicion: lead.observer.SuspicionOfLost(c.state, worker, lead.attempts, now),
+		}
 		for id, run := range placed {
 			if !lead.observer.MayBeAliveLate(run, worker, lead.attempts[id], lead.fencingToken, wallTime()) {
 				drop.Runs = append(drop.Runs, id)
--- a/scheduler/apply.go
+++ b/scheduler/apply.go
@@ -183,6 +183,7 @@
 func (s *State) applyEnd(record *RecordEnds, end *End, now UnixMilli) *Job {
 	run := s.runs[end.Run]
 	if run == nil {
+		s.workers[record.Worker].LostRuns.clear(end.Run)
 		return s.applyLateEnd(end, now)
 	}
 	if run.Worker != record.Worker {
@@ -282,6 +283,7 @@
 	result := Result{Outcome: OutcomeUnchanged}
 	for i, id := range drop.Runs {
 		if run := s.runs[id]; run != nil {
+			s.recordLost(run, drop.Suspicion)
 			s.removeRun(run)
 			result.Outcome = OutcomeDone
 			if job := s.active[id.Task.Job]; job != nil {
@@ -336,7 +338,7 @@
 	}
 	worker.Acked = 0
 	if known != nil && known.Incarnation == worker.Incarnation {
-		worker.Acked = known.Acked
+		worker.Acked, worker.LostRuns = known.Acked, known.LostRuns
 		worker.DrainingSince = known.DrainingSince
 	}
 	if worker.State == WorkerDraining && worker.DrainingSince == 0 {
--- a/scheduler/command.go
+++ b/scheduler/command.go
@@ -74,6 +74,9 @@
 	Checkpoints []string `json:"checkpoints,omitempty"`
 	// Reason is the reason given in the job's events.
 	Reason string `json:"reason,omitempty"`
+	// Suspicion names those of the runs that may have crashed their worker, in case
+	// that it has crashed.
+	Suspicion *Suspicion `json:"suspicion,omitempty"`
 }
 
 // Leave marks a worker as left. Incarnation 0 means any; a Leave of an earlier
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -141,14 +141,24 @@
 // Suspicion returns the runs that may have crashed the processes that a worker's
 // report shows to have ended. attempts holds the starts of this leader.
 func (o *Observer) Suspicion(s *State, worker *Worker, attempts map[RunID]*StartAttempt, now time.Time) *Suspicion {
+	return o.suspicionOf(s, s.replacedBy(worker), attempts, now)
+}
+
+// SuspicionOfLost returns the runs that may have crashed a worker, if its process has
+// ended.
+func (o *Observer) SuspicionOfLost(s *State, worker *Worker, attempts map[RunID]*StartAttempt, now time.Time) *Suspicion {
+	return o.suspicionOf(s, []*Worker{worker}, attempts, now)
+}
+
+func (o *Observer) suspicionOf(s *State, workers []*Worker, attempts map[RunID]*StartAttempt, now time.Time) *Suspicion {
 	var suspicion Suspicion
 	var older []RunID
-	for _, old := range s.replacedBy(worker) {
-		observation := o.observations[old.ID]
-		if observation == nil || observation.Incarnation != old.Incarnation {
+	for _, worker := range workers {
+		observation := o.observations[worker.ID]
+		if observation == nil || observation.Incarnation != worker.Incarnation {
 			observation = &WorkerObservation{}
 		}
-		for _, run := range s.runsOfIncarnation(old) {
+		for _, run := range s.runsOfIncarnation(worker) {
 			switch observation.ageAtCrash(attempts[run.ID]) {
 			case ageYoung:
 				suspicion.Likely = append(suspicion.Likely, run.ID)
@@ -159,7 +169,7 @@
 			}
 		}
 	}
-	if len(suspicion.Likely) == 0 && !o.manyRestarts(s, worker, now) {
+	if len(suspicion.Likely) == 0 && !o.manyRestarts(s, workers, now) {
 		suspicion.Possible = append(suspicion.Possible, older...)
 	}
 	if len(suspicion.Likely)+len(suspicion.Possible) == 0 {
@@ -200,12 +210,12 @@
 
 // manyRestarts reports whether other workers have recently become unresponsive or
 // started, so that a crash is more likely one of several with a common cause.
-func (o *Observer) manyRestarts(s *State, worker *Worker, now time.Time) bool {
+func (o *Observer) manyRestarts(s *State, workers []*Worker, now time.Time) bool {
 	const window, many = 5 * time.Second, 2
 	count := 0
 	for id, observation := range o.observations {
 		other := s.workers[id]
-		if other == nil || other.ID == worker.ID || other.conflictsWith(worker) {
+		if other == nil || slices.ContainsFunc(workers, other.isSameOrConflicts) {
 			continue
 		}
 		if observation.MissedPolls > 0 || observation.firstSeen.After(o.Since) && now.Sub(observation.firstSeen) < window {
@@ -215,6 +225,8 @@
 	return count >= many
 }
 
+func (w *Worker) isSameOrConflicts(o *Worker) bool { return w.ID == o.ID || w.conflictsWith(o) }
+
 // likely returns the runs that are suspected of their worker's crash: those of tasks
 // that were suspected before, if there are any, and otherwise all likely ones.
 func (s *State) likely(suspicion *Suspicion) map[RunID]bool {
@@ -251,7 +263,8 @@
 // place. Unless the worker was leaving, the crash counts for the tasks that may have
 // caused it. It returns the runs that ended, and the jobs that are given up.
 func (s *State) recordRestart(old, next *Worker, suspicion *Suspicion, now UnixMilli) ([]LostRun, []*Job) {
-	if suspicion == nil || old.State != WorkerReady || s.inUpkeep(old.Machine) {
+	suspicion = old.LostRuns.with(suspicion)
+	if old.State != WorkerReady || s.inUpkeep(old.Machine) {
 		suspicion = &Suspicion{}
 	}
 	likely := s.likely(suspicion)
@@ -259,24 +272,81 @@
 	var ended []*Job
 	for _, run := range s.runsOfIncarnation(old) {
 		lost = append(lost, LostRun{Run: run.ID, Worker: old.ID, Incarnation: old.Incarnation, Suspected: likely[run.ID]})
-		job := s.active[run.ID.Task.Job]
-		if job == nil {
-			continue
+		if job := s.active[run.ID.Task.Job]; job != nil {
+			job.addEvent(now, "%s ended with its worker %s, which has restarted as %s", run.ID, old.ID, next.ID)
 		}
-		job.addEvent(now, "%s ended with its worker %s, which has restarted as %s", run.ID, old.ID, next.ID)
-		_, _, task := job.step(run.ID.Task)
-		if task.Done || !likely[run.ID] && !slices.Contains(suspicion.Possible, run.ID) {
+	}
+	for _, run := range slices.Concat(suspicion.Likely, suspicion.Possible) {
+		crash := WorkerCrash{At: now, Machine: old.crashMachine(), RunNumber: run.Number, Suspected: likely[run]}
+		if !crash.Suspected && slices.Contains(suspicion.Likely, run) {
 			continue
 		}
-		task.recordCrash(WorkerCrash{At: now, Machine: old.crashMachine(), RunNumber: run.ID.Number, Suspected: likely[run.ID]})
-		if task.crashesWorkers() {
-			s.endJob(job, PhaseFailed, fmt.Sprintf("%s crashed %d workers", run.ID.Task, len(task.Crashes)), now)
+		if job := s.countCrash(run.Task, crash); job != nil {
 			ended = append(ended, job)
 		}
 	}
 	return lost, ended
 }
 
+// countCrash counts a crash for a task. It returns the job if it is given up for it,
+// and nil otherwise.
+func (s *State) countCrash(id TaskID, crash WorkerCrash) *Job {
+	job := s.active[id.Job]
+	if job == nil {
+		return nil
+	}
+	_, _, task := job.step(id)
+	if task == nil || task.Done {
+		return nil
+	}
+	task.recordCrash(crash)
+	if !task.crashesWorkers() {
+		return nil
+	}
+	s.endJob(job, PhaseFailed, fmt.Sprintf("%s crashed %d workers", id, len(task.Crashes)), crash.At)
+	return job
+}
+
+// recordLost notes on the worker of a run that is dropped whether the run may have
+// crashed it, until the worker lists the end of the run or starts again.
+func (s *State) recordLost(run *Run, suspicion *Suspicion) {
+	worker := s.workers[run.Worker]
+	if suspicion == nil || worker == nil || worker.Incarnation != run.Incarnation {
+		return
+	}
+	if worker.LostRuns == nil {
+		worker.LostRuns = &Suspicion{}
+	}
+	if slices.Contains(suspicion.Likely, run.ID) {
+		worker.LostRuns.Likely = append(worker.LostRuns.Likely, run.ID)
+	}
+	if slices.Contains(suspicion.Possible, run.ID) {
+		worker.LostRuns.Possible = append(worker.LostRuns.Possible, run.ID)
+	}
+}
+
+// with returns the runs of two suspicions. Both may be nil.
+func (s *Suspicion) with(o *Suspicion) *Suspicion {
+	var both Suspicion
+	for _, suspicion := range []*Suspicion{s, o} {
+		if suspicion != nil {
+			both.Likely = append(both.Likely, suspicion.Likely...)
+			both.Possible = append(both.Possible, suspicion.Possible...)
+		}
+	}
+	return &both
+}
+
+// clear removes a run from a suspicion, which may be nil.
+func (s *Suspicion) clear(run RunID) {
+	if s == nil {
+		return
+	}
+	isRun := func(id RunID) bool { return id == run }
+	s.Likely = slices.DeleteFunc(s.Likely, isRun)
+	s.Possible = slices.DeleteFunc(s.Possible, isRun)
+}
+
 // inUpkeep reports whether a machine may be down for upkeep.
 func (s *State) inUpkeep(machine MachineID) bool {
 	for _, wave := range s.waves {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -40,6 +40,9 @@
 	// Acked is the number of the last recorded end of this incarnation. It
 	// never decreases within an incarnation.
 	Acked int64 `json:"acked,omitempty"`
+	// LostRuns holds the runs of this incarnation that were dropped since its leases
+	// had ended, and that may have crashed it.
+	LostRuns *Suspicion `json:"lost-runs,omitempty"`
 }
 
 const rackPrefix = "r"
