coordinator: bound what jobs cost each instance

Found by trial (scratch test, not committed): 40 submits of about 100 bytes, each for 100,000 tasks, take 275 MiB of heap on every coordination instance (the sites give 280) and again at each start; ended jobs keep theirs for ten minutes, so that submits and cancels one after the other add up. A submit of 252 kB with 21,001 steps occupies each instance for 0.83 s of a whole core when it is applied, since the critical path was found anew for each step, and at each restore.

Change: the state estimates the memory of its jobs. Beyond 15 % of memory-mib (40 MiB without the setting) the leader refuses further jobs at once as overloaded, with the time to retry; the job never runs. The check is the leader's, before the log, so that instances of both builds apply the same entries alike. An ended job without runs keeps its events and counts only. The critical path takes one pass.

Ruled out: a lower bound for the tasks of one job (the platform sets none); refusal when the entry is applied (instances of different builds would differ).

--- a/coordinator/calls.go
+++ b/coordinator/calls.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"time"
 
 	"cranberrystack.dev/cranberrystack/forwarder"
 	"cranberrystack.dev/cranberrystack/identifier"
@@ -147,10 +148,22 @@
 		c.mu.Unlock()
 		return c.resubmitAnswer(job.ID, visibleTo(job, target.team))
 	}
+	footprint := request.Footprint()
+	if taken := c.state.Footprint() + c.submitting; taken+footprint > c.options.jobMemory {
+		c.mu.Unlock()
+		c.event("submit-refused", "job", target.job, "code", responder.CodeOverloaded, "footprint", footprint, "taken", taken, "limit", c.options.jobMemory)
+		return forwarder.Answer{
+			Code: responder.CodeOverloaded, Reason: "the jobs take all the memory that they may; nothing was done", RetryAfterMillis: overloadedRetryAfter.Milliseconds(),
+		}
+	}
+	c.submitting += footprint
 	submit := &scheduler.Submit{Job: target.job, Queue: target.queue.Name, Team: target.team, Request: request}
 	p := c.enqueue(0, scheduler.Command{Submit: submit})
 	c.mu.Unlock()
 	results, err := p.wait(ctx)
+	c.mu.Lock()
+	c.submitting -= footprint
+	c.mu.Unlock()
 	if err != nil {
 		c.event("submit-unknown", "job", target.job, "error", err)
 		return c.commitFailure(err)
@@ -165,6 +178,10 @@
 	return forwarder.Answer{Code: forwarder.CodeOK}
 }
 
+// overloadedRetryAfter is when a caller may submit a job again that was refused for
+// lack of memory.
+const overloadedRetryAfter = 2 * time.Second
+
 // resubmitAnswer returns the answer to a submit with the id of a known job. ours
 // says that the job is of the caller's team, so that it is a resend.
 func (c *Coordinator) resubmitAnswer(job identifier.JobID, ours bool) forwarder.Answer {
--- a/coordinator/cluster_test.go
+++ b/coordinator/cluster_test.go
@@ -56,6 +56,8 @@
 	nextHost    int
 	// heldPolls is the option of that name; 0 by default.
 	heldPolls int
+	// jobMemory is the option of that name; 0 means the default.
+	jobMemory int64
 	// forwardedReports counts the reports that one instance forwarded to another.
 	forwardedReports atomic.Int64
 	startedAt        time.Time
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -90,7 +90,9 @@
 	// changingMembership says that a membership change is in flight.
 	changingMembership bool
 	proposalsReady     chan struct{}
-	tallies            runTallies
+	// submitting is the footprint of the jobs that are being committed, in bytes.
+	submitting int64
+	tallies    runTallies
 }
 
 // leadership is the state of a leader during one leadership. ctx is cancelled
--- a/coordinator/explain.go
+++ b/coordinator/explain.go
@@ -35,15 +35,12 @@
 	}
 	e := explanation{
 		Job: job.ID, State: stateOf(job), Queue: job.Queue, Team: job.Team,
-		Accepted: job.Accepted, Ended: job.Ended, Reason: job.Reason,
+		Accepted: job.Accepted, Ended: job.Ended, Reason: job.Reason, DoneTasks: job.CountDone(),
 	}
 	for k := range job.Occurrences {
 		for i := range job.Occurrences[k].Steps {
 			for j := range job.Occurrences[k].Steps[i].Tasks {
-				switch task := &job.Occurrences[k].Steps[i].Tasks[j]; {
-				case task.Done:
-					e.DoneTasks++
-				case task.LiveRuns == 0:
+				if task := &job.Occurrences[k].Steps[i].Tasks[j]; !task.Done && task.LiveRuns == 0 {
 					e.WaitingTasks++
 				}
 			}
--- a/coordinator/options.go
+++ b/coordinator/options.go
@@ -21,6 +21,8 @@
 	defaultContactTimeout = 4 * time.Second
 	// defaultCallTimeout bounds one call that sends an order to a worker.
 	defaultCallTimeout = 500 * time.Millisecond
+	// DefaultJobMemory bounds the memory that jobs take on each instance, in bytes.
+	DefaultJobMemory = 40 << 20
 	// DefaultDutyLease is how long a new leader sends no upkeep orders, since the
 	// previous leader may still send them.
 	DefaultDutyLease = 3 * time.Second
@@ -43,6 +45,7 @@
 	// heldPolls is the number of polled workers up to which polls are held; 0 means
 	// no bound.
 	heldPolls      int
+	jobMemory      int64
 	startLease     time.Duration
 	contactTimeout time.Duration
 	callTimeout    time.Duration
@@ -59,7 +62,7 @@
 func newOptions(opts ...Option) options {
 	start := time.Now()
 	o := options{
-		maxLease: DefaultMaxLease, startLease: defaultStartLease,
+		maxLease: DefaultMaxLease, jobMemory: DefaultJobMemory, startLease: defaultStartLease,
 		contactTimeout: defaultContactTimeout, callTimeout: defaultCallTimeout, dutyLease: DefaultDutyLease,
 		tick: defaultTickInterval, idleTick: defaultIdleTickInterval,
 		clock: func() time.Duration { return time.Since(start) },
@@ -82,6 +85,12 @@
 	return func(o *options) { o.heldPolls = workers }
 }
 
+// JobMemory bounds the memory that jobs take on each instance, in bytes. Further jobs
+// are refused.
+func JobMemory(limit int64) Option {
+	return func(o *options) { o.jobMemory = limit }
+}
+
 // DutyLease sets how long a new leader sends no upkeep orders, since the previous
 // leader may still send them.
 func DutyLease(lease time.Duration) Option {
--- a/cranberryd/node/coordination.go
+++ b/cranberryd/node/coordination.go
@@ -68,6 +68,7 @@
 	},
 		coordinator.MaxLease(settings.Bounds.MaxLease.Std()),
 		coordinator.HeldPolls(p.idleConnections(purposePolls)),
+		coordinator.JobMemory(jobMemory(settings)),
 		coordinator.DutyLease(settings.Bounds.DutyLease.Std()),
 		coordinator.Clock(p.deps.Clock),
 		coordinator.LogOptions(
@@ -97,3 +98,15 @@
 	p.drain = func(context.Context) { c.Stop() }
 	return nil
 }
+
+// jobMemoryPercent is the share of the memory in the settings that the jobs may take;
+// a snapshot needs as much again for a short time.
+const jobMemoryPercent = 15
+
+// jobMemory returns the bound of the memory that jobs take, in bytes.
+func jobMemory(settings *loader.NodeSettings) int64 {
+	if settings.MemoryMiB == 0 {
+		return coordinator.DefaultJobMemory
+	}
+	return settings.MemoryMiB << 20 * jobMemoryPercent / 100
+}
--- a/scheduler/apply.go
+++ b/scheduler/apply.go
@@ -86,6 +86,7 @@
 	job.addEvent(now, "accepted in queue %s", job.Queue)
 	s.jobs[job.ID] = job
 	s.active[job.ID] = job
+	s.footprint += job.Request.Footprint()
 	return Result{Outcome: OutcomeDone, Phase: job.Phase}
 }
 
@@ -104,6 +105,7 @@
 func (s *State) endJob(job *Job, phase Phase, reason string, now UnixMilli) {
 	job.end(phase, reason, now)
 	delete(s.active, job.ID)
+	s.releaseEnded(job)
 }
 
 func (s *State) applyAssign(assign *Assign, batch Batch) Result {
@@ -123,6 +125,7 @@
 		task.RunNumber = max(task.RunNumber, run.ID.Number)
 		task.LiveRuns++
 		state.LiveRuns++
+		job.liveRuns++
 		if step.Gang {
 			state.RunNumber = max(state.RunNumber, run.ID.Number)
 		}
@@ -383,6 +386,7 @@
 		if job.Active() || now-job.Ended < jobRetention {
 			continue
 		}
+		s.footprint -= job.Request.Footprint()
 		delete(s.jobs, id)
 	}
 	for id, worker := range s.workers {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"regexp"
+	"unsafe"
 
 	"github.com/rotisserie/eris"
 
@@ -131,22 +132,36 @@
 // criticalPathMillis returns the estimated length of the longest chain of
 // dependent steps, in milliseconds.
 func (r *Request) criticalPathMillis() int64 {
+	ends := make([]int64, len(r.Steps))
 	longest := int64(0)
 	for i := range r.Steps {
-		longest = max(longest, r.pathMillisTo(i))
-	}
-	return longest
-}
-
-func (r *Request) pathMillisTo(step int) int64 {
-	ends := make([]int64, step+1)
-	for i := 0; i <= step; i++ {
 		for _, dependency := range r.Steps[i].DependsOn {
 			ends[i] = max(ends[i], ends[dependency])
 		}
 		ends[i] += r.Steps[i].EstimateMillis
+		longest = max(longest, ends[i])
 	}
-	return ends[step]
+	return longest
+}
+
+const (
+	jobBytes       = 2048
+	stepBytes      = int64(unsafe.Sizeof(Step{}))
+	stepStateBytes = int64(unsafe.Sizeof(StepState{}))
+	taskStateBytes = int64(unsafe.Sizeof(TaskState{}))
+)
+
+// Footprint estimates the memory that a job with this request takes on each instance
+// until it has ended, in bytes.
+func (r *Request) Footprint() int64 {
+	tasks, dependencies := int64(0), int64(0)
+	for i := range r.Steps {
+		tasks += int64(r.Steps[i].Width)
+		dependencies += int64(len(r.Steps[i].DependsOn))
+	}
+	steps := int64(len(r.Steps))
+	perOccurrence := steps*stepStateBytes + tasks*taskStateBytes
+	return jobBytes + int64(len(r.Spec)) + steps*stepBytes + dependencies*8 + int64(r.occurrences())*perOccurrence
 }
 
 // QueuePolicy holds the queue settings that apply to a job.
@@ -194,8 +209,12 @@
 	// Events holds what happened to the job, oldest first.
 	Events      []JobEvent   `json:"life,omitempty"`
 	Occurrences []Occurrence `json:"occurrences"`
+	// DoneTasks counts the tasks that were done when the job was released.
+	DoneTasks int `json:"done-tasks,omitempty"`
 
 	criticalPathMillis int64
+	// liveRuns counts the runs that may be alive.
+	liveRuns int
 }
 
 // Occurrence is one execution of all steps of a job.
@@ -267,15 +286,24 @@
 }
 
 // hasNoRuns reports whether no run of the job may be alive.
-func (j *Job) hasNoRuns() bool {
+func (j *Job) hasNoRuns() bool { return j.liveRuns == 0 }
+
+// CountDone returns the number of tasks that are done.
+func (j *Job) CountDone() int {
+	done := j.DoneTasks
 	for k := range j.Occurrences {
 		for i := range j.Occurrences[k].Steps {
-			if j.Occurrences[k].Steps[i].LiveRuns > 0 {
-				return false
-			}
+			state := &j.Occurrences[k].Steps[i]
+			done += len(state.Tasks) - state.RemainingTasks
 		}
 	}
-	return true
+	return done
+}
+
+// release drops what the job no longer needs once it has ended and has no runs.
+func (j *Job) release() {
+	j.DoneTasks = j.CountDone()
+	j.Occurrences, j.Request = nil, Request{}
 }
 
 // dependenciesDone reports whether all steps that a step depends on are done.
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -30,6 +30,8 @@
 	active map[identifier.JobID]*Job
 	// placed holds the runs of each worker.
 	placed map[identifier.WorkerID]map[RunID]*Run
+	// footprint is the sum of the footprints of the jobs.
+	footprint int64
 }
 
 // NewState returns the state before the first command.
@@ -97,6 +99,7 @@
 	}
 	for _, job := range stored.Jobs {
 		job.criticalPathMillis = job.Request.criticalPathMillis()
+		fresh.footprint += job.Request.Footprint()
 		fresh.jobs[job.ID] = job
 		if job.Active() {
 			fresh.active[job.ID] = job
@@ -108,6 +111,9 @@
 	for _, run := range stored.Runs {
 		fresh.runs[run.ID] = run
 		fresh.indexRun(run)
+		if job := fresh.jobs[run.ID.Task.Job]; job != nil {
+			job.liveRuns++
+		}
 	}
 	for _, wave := range stored.Waves {
 		fresh.waves[wave.ID] = wave
@@ -276,8 +282,23 @@
 	if !known {
 		return
 	}
+	job.liveRuns--
 	if _, state, task := job.step(run.ID.Task); task != nil {
 		state.LiveRuns--
 		task.LiveRuns--
 	}
+	s.releaseEnded(job)
+}
+
+// releaseEnded releases a job that has ended and has no runs.
+func (s *State) releaseEnded(job *Job) {
+	if job.Active() || !job.hasNoRuns() || job.Occurrences == nil {
+		return
+	}
+	s.footprint -= job.Request.Footprint()
+	job.release()
+	s.footprint += job.Request.Footprint()
 }
+
+// Footprint estimates the memory that all jobs take on each instance, in bytes.
+func (s *State) Footprint() int64 { return s.footprint }
