scheduler: refuse absurd reports and jobs, and bound the planner's index

Found by reading, shown by a scratch test: the planner's index has one level for each accelerator that a worker claims. A report with 16,777,216 accelerators lets one plan allocate 4,479 MB; the leader is killed for its memory, and so is each next one, since the registration is in the log. Sums of resources, estimates and due times of jobs overflow likewise, without ending a process.

Change: the index has at most 1,024 levels, also for what is in the log already. Reports and jobs whose amounts are negative or absurd are refused with the reason (report-refused, invalid); 10^12 is the bound, so that no sum overflows.

Ruled out: a bound for reports only (registrations of before stay in the log).

--- a/coordinator/workers.go
+++ b/coordinator/workers.go
@@ -42,16 +42,20 @@
 	switch {
 	case id == "" || r.Address == "" || r.Pool == "" || r.DataCenter == "":
 		return scheduler.Worker{}, r, "id, address, pool or data centre is missing"
-	case r.Sequence == nil || r.Incarnation == nil || *r.Incarnation <= 0 || r.Capacity == nil:
+	case r.Sequence == nil || r.Incarnation == nil || r.Capacity == nil:
 		return scheduler.Worker{}, r, "sequence, born or capacity is missing"
 	case r.State != scheduler.WorkerReady && r.State != scheduler.WorkerDraining:
 		return scheduler.Worker{}, r, "unknown state " + string(r.State)
 	}
-	return scheduler.Worker{
+	worker := scheduler.Worker{
 		ID: id, Incarnation: scheduler.UnixMilli(*r.Incarnation), Sequence: *r.Sequence, Pool: r.Pool, Address: r.Address,
 		DataCenter: r.DataCenter, Machine: r.Machine, Labels: r.Labels, Capacity: *r.Capacity,
 		State: r.State, DrainMillis: r.RemainingMillis,
-	}, r, ""
+	}
+	if err := worker.Check(); err != nil {
+		return scheduler.Worker{}, r, err.Error()
+	}
+	return worker, r, ""
 }
 
 // report handles a worker's report. Changes of its registration are committed
--- a/scheduler/chooser.go
+++ b/scheduler/chooser.go
@@ -30,10 +30,16 @@
 type capacityIndex struct {
 	kind capacityKind
 	// levels holds the candidates with as many accelerators left as the index says,
-	// at least 0.
+	// at least 0; the last one also holds those with more.
 	levels [][]*candidate
 }
 
+// maxLevel bounds the levels of an index.
+const maxLevel = 1024
+
+// levelOf returns the level of a number of accelerators.
+func levelOf(accelerators int64) int { return int(min(max(0, accelerators), maxLevel)) }
+
 // indexSlot is a candidate's place in a capacityIndex.
 type indexSlot struct {
 	level, position int
@@ -48,7 +54,7 @@
 }
 
 func (x *capacityIndex) insert(c *candidate) {
-	level := int(max(0, c.left(x.kind).Accelerators))
+	level := levelOf(c.left(x.kind).Accelerators)
 	for len(x.levels) <= level {
 		x.levels = append(x.levels, nil)
 	}
@@ -59,7 +65,7 @@
 // update moves a candidate whose capacity has changed.
 func (x *capacityIndex) update(c *candidate) {
 	slot := c.slots[x.kind]
-	if int(max(0, c.left(x.kind).Accelerators)) == slot.level {
+	if levelOf(c.left(x.kind).Accelerators) == slot.level {
 		return
 	}
 	of := x.levels[slot.level]
@@ -71,10 +77,10 @@
 }
 
 // withAccelerators yields the candidates with at least the given number of
-// accelerators left.
+// accelerators left, and others if that is over maxLevel.
 func (x *capacityIndex) withAccelerators(needed int64) iter.Seq[*candidate] {
 	return func(yield func(*candidate) bool) {
-		for level := int(max(0, needed)); level < len(x.levels); level++ {
+		for level := levelOf(needed); level < len(x.levels); level++ {
 			for _, c := range x.levels[level] {
 				if !yield(c) {
 					return
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -14,6 +14,11 @@
 	MaxSpecBytes = 4000
 	maxTasks     = 100000
 	maxRepeat    = 100000
+	// maxAmount bounds resources and durations in milliseconds, so that sums of them
+	// do not overflow.
+	maxAmount = 1_000_000_000_000
+	// maxTime is the latest time of day that jobs and workers may name.
+	maxTime = UnixMilli(100 * maxAmount)
 )
 
 // ErrInvalidJob reports an invalid job.
@@ -97,13 +102,13 @@
 	if len(r.Steps) == 0 {
 		return eris.Wrap(ErrInvalidJob, "no steps")
 	}
-	if r.Repeat < 0 || r.Repeat > maxRepeat || r.IntervalMillis < 0 || r.StartAt < 0 {
+	if r.Repeat < 0 || r.Repeat > maxRepeat || r.IntervalMillis < 0 || r.IntervalMillis > maxAmount || r.StartAt < 0 || r.StartAt > maxTime {
 		return eris.Wrap(ErrInvalidJob, "times are out of range")
 	}
 	tasks := 0
 	for i := range r.Steps {
 		step := &r.Steps[i]
-		if step.Width <= 0 || step.Width > maxTasks || step.CPU < 0 || step.Memory < 0 || step.Accelerators < 0 {
+		if step.Width <= 0 || step.Width > maxTasks || !step.Resources.valid() || step.EstimateMillis < 0 || step.EstimateMillis > maxAmount {
 			return eris.Wrapf(ErrInvalidJob, "step %d has a size out of range", i)
 		}
 		for _, dependency := range step.DependsOn {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -131,6 +131,16 @@
 	Accelerators int64 `json:"accelerators,omitempty"`
 }
 
+// valid reports whether no resource is negative or absurdly large.
+func (r Resources) valid() bool {
+	for _, amount := range []int64{r.CPU, r.Memory, r.Accelerators} {
+		if amount < 0 || amount > maxAmount {
+			return false
+		}
+	}
+	return true
+}
+
 // Plus returns the sum of r and o.
 func (r Resources) Plus(o Resources) Resources {
 	return Resources{CPU: r.CPU + o.CPU, Memory: r.Memory + o.Memory, Accelerators: r.Accelerators + o.Accelerators}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 
+	"github.com/rotisserie/eris"
+
 	"cranberrystack.dev/cranberrystack/identifier"
 )
 
@@ -45,6 +47,28 @@
 	LostRuns *Suspicion `json:"lost-runs,omitempty"`
 }
 
+// maxLabels bounds the labels of a worker.
+const maxLabels = 256
+
+// ErrInvalidWorker reports an invalid worker.
+var ErrInvalidWorker = eris.New("worker is invalid")
+
+// Check returns an error that wraps ErrInvalidWorker if a worker's report about itself
+// is out of range.
+func (w *Worker) Check() error {
+	switch {
+	case w.Incarnation <= 0 || w.Incarnation > maxTime:
+		return eris.Wrap(ErrInvalidWorker, "start time is out of range")
+	case !w.Capacity.valid():
+		return eris.Wrap(ErrInvalidWorker, "capacity is out of range")
+	case w.DrainMillis < 0 || w.DrainMillis > maxAmount:
+		return eris.Wrap(ErrInvalidWorker, "remaining time is out of range")
+	case len(w.Labels) > maxLabels:
+		return eris.Wrapf(ErrInvalidWorker, "more than %d labels", maxLabels)
+	}
+	return nil
+}
+
 const rackPrefix = "r"
 
 // Rack returns the label that names the worker's rack, or "" if it has none. It
