--- a/cranberryd/cluster/requests_test.go
+++ b/cranberryd/cluster/requests_test.go
@@ -147,6 +147,38 @@
 	}
 }
 
+// Guards against an idempotent request that ends the process of each upstream that runs
+// it and is sent to one after the other.
+func TestRequestThatCrashesUpstreamsIsGivenUp(t *testing.T) {
+	const maxCrashes = 3
+	withCluster(t, threeInstances(), func(t *testing.T, c *cluster) {
+		var crashes atomic.Int64
+		for i := range 8 {
+			upstream := c.addUpstream(fmt.Sprintf("u%d", i), 4, "dc1")
+			upstream.Run = func(ctx context.Context, work faker.UpstreamRequest) string {
+				if work.Body != "deadly" {
+					return "done " + work.Body
+				}
+				crashes.Add(1)
+				c.network.Kill(string(upstream.ID))
+				<-ctx.Done()
+				return ""
+			}
+		}
+		c.startWithTestLists()
+		response := c.postRequest("a", isukuHeader(""), "deadly")
+		if response.code() != "outcome-unknown" || !strings.Contains(response.body, "lost 3 upstreams") {
+			t.Errorf("got %d %s, want an unknown outcome and the reason", response.status, response.body)
+		}
+		if count := crashes.Load(); count > maxCrashes {
+			t.Errorf("%d upstreams crashed, want at most %d", count, maxCrashes)
+		}
+		if response := c.postRequest("a", isukuHeader(""), "next"); response.status != http.StatusOK {
+			t.Errorf("the next request: got %d %s, want it answered", response.status, response.body)
+		}
+	})
+}
+
 // TestTruncatedResponseIsNotReturned aborts a response half way: the caller must
 // get the complete response that the upstream stored, without a second run.
 func TestTruncatedResponseIsNotReturned(t *testing.T) {
