placer: give up jobs that crash the workers that start them

Change: a worker whose next process reports has crashed; a job that had been started there less than 2 s before the last report of the crashed process counts it, and is ended as failed after three in a row. Jobs under which workers have crashed are kept apart; one that had run for longer is cleared. Ruled out: counting alone, with which a job placed beside the cause three times was given up too (TestJobThatCrashesWorkersIsGivenUp failed in that form).

TestJobThatCrashesWorkersIsGivenUp: placed again for a minute before, failed after three crashes now, the jobs beside it complete; TestJobOnCrashingWorkersIsNotGivenUp passes before and after.

--- a/placer/failures.go
+++ b/placer/failures.go
@@ -80,6 +80,29 @@
 	return e.failuresOnHealthyWorkers(job, now) >= maxFailedWorkers || job.Failures >= maxFailures
 }
 
+// recordCrash counts a crash of a worker, which was last known to be alive at a time,
+// for the jobs that had just been started there. A job that had run for longer is no
+// longer suspected, since it does not crash the workers that start it.
+func (e *Engine) recordCrash(w *workerState, lastAlive time.Time) {
+	for _, job := range w.jobs.all() {
+		var started time.Time
+		switch job.State {
+		case StateStarting:
+			started = job.stateSince
+		case StateRunning:
+			started = job.Started
+		default:
+			continue
+		}
+		if lastAlive.Sub(started) < crashSuspectTime {
+			job.Crashes++
+		} else {
+			job.Crashes = 0
+		}
+		e.markDirty(job)
+	}
+}
+
 // attributeFailure attributes a job's failure to a worker.
 func (e *Engine) attributeFailure(worker identifier.WorkerID, job *Job, now time.Time) {
 	w, known := e.workers[worker]
--- a/placer/options.go
+++ b/placer/options.go
@@ -41,6 +41,10 @@
 	// has few workers to run on.
 	maxFailures        = 6
 	quarantineDuration = 10 * time.Minute
+	// maxCrashes is the number of consecutive crashes of workers within
+	// crashSuspectTime of a job's start after which the job is no longer retried.
+	maxCrashes       = 3
+	crashSuspectTime = 2 * time.Second
 	// stragglerFactor is the multiple of the mean run time beyond which a job
 	// is reported as a straggler.
 	stragglerFactor = 5
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -161,6 +161,9 @@
 	FailedOn []identifier.WorkerID `json:"failed-on,omitempty"`
 	// Failures counts the failures on workers that were not quarantined.
 	Failures int `json:"failures,omitempty"`
+	// Crashes counts the consecutive attempts in which a worker crashed right after
+	// the start of the job.
+	Crashes int `json:"crashes,omitempty"`
 	// Reason says why the job ended or was last requeued.
 	Reason string `json:"reason,omitempty"`
 	// Reclaims counts how often the job was preempted for a guarantee.
--- a/placer/report.go
+++ b/placer/report.go
@@ -33,7 +33,12 @@
 		w = &workerState{jobs: newJobSet()}
 		e.workers[report.Worker.ID] = w
 	}
+	restarted := known && report.Worker.Incarnation > w.info.Incarnation
+	lastAlive := w.lastReport
 	e.updateWorker(w, report, now)
+	if restarted {
+		e.recordCrash(w, lastAlive)
+	}
 	if !known {
 		e.attachPieces(w)
 	}
@@ -175,6 +180,10 @@
 		if piece.State == PieceRequested && now.Sub(piece.requestedAt) < e.options.commandTimeout {
 			continue
 		}
+		if job.Crashes >= maxCrashes {
+			e.giveUpAfterCrashes(job, piece, now)
+			return
+		}
 		e.handleLostPiece(job, piece, "worker "+string(w.info.ID)+" lost its part", now)
 		return
 	}
@@ -318,6 +327,19 @@
 	e.stop(job, StateQueued, job.Spec.Checkpointable, e.options.urgentGrace, now)
 }
 
+// giveUpAfterCrashes handles a piece that was lost in the last crash after which a job
+// is retried.
+func (e *Engine) giveUpAfterCrashes(job *Job, piece *Piece, now time.Time) {
+	e.releasePiece(job, piece, PieceReleased)
+	if job.State == StateStopping {
+		e.completeStop(job, now)
+		return
+	}
+	job.recovering = false
+	job.Reason = fmt.Sprintf("crashed %d workers right after its start, last %s", job.Crashes, piece.Worker)
+	e.stop(job, StateFailed, false, e.options.urgentGrace, now)
+}
+
 func (e *Engine) applyUsage(report Report, now time.Time) {
 	for _, usage := range report.Usage {
 		job, known := e.active.get(usage.ID.Job)
--- a/placer/scenario_test.go
+++ b/placer/scenario_test.go
@@ -101,6 +101,45 @@
 	}
 }
 
+// Guards against a job that crashes each worker that starts it and is placed again
+// without end, and against blaming other jobs for the crashes.
+func TestJobThatCrashesWorkersIsGivenUp(t *testing.T) {
+	tests := []struct {
+		name  string
+		shape packer.Shape
+	}{{"one worker", oneShape}, {"gang", pairShape}}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newFaultlessSimulation(t)
+			deadly := newSimJob("deadly", "zebra", test.shape, 10*time.Second)
+			deadly.deadly = true
+			s.mustSubmit(newSimJob("before", "zebra", oneShape, 20*time.Second))
+			s.runFor(3 * time.Second)
+			s.mustSubmit(deadly)
+			s.mustSubmit(newSimJob("beside", "zebra", oneShape, 10*time.Second))
+			s.runUntil("deadly", StateFailed, time.Minute)
+			if job := s.job("deadly"); !strings.Contains(job.Reason, "crashed 3 workers") {
+				t.Errorf("given up for another reason: %s", job.Reason)
+			}
+			s.runUntil("before", StateFinished, time.Minute)
+			s.runUntil("beside", StateFinished, time.Minute)
+		})
+	}
+}
+
+// Guards against giving up a job whose workers crash some time after its start.
+func TestJobOnCrashingWorkersIsNotGivenUp(t *testing.T) {
+	s := newFaultlessSimulation(t)
+	s.mustSubmit(newSimJob("job", "zebra", pairShape, 12*time.Second))
+	for range 5 {
+		s.runUntil("job", StateRunning, time.Minute)
+		s.runFor(4 * time.Second)
+		s.crash(s.machineByID(s.job("job").Pieces[0].Worker))
+		s.runFor(2 * time.Second)
+	}
+	s.runUntil("job", StateFinished, 2*time.Minute)
+}
+
 func TestAllGangPiecesStartAfterRefusedLease(t *testing.T) {
 	s := newFaultlessSimulation(t)
 	m := s.machines[1]
--- a/placer/schedule.go
+++ b/placer/schedule.go
@@ -119,12 +119,14 @@
 }
 
 // searchKey groups jobs for which the same search is assumed to have the same
-// result. Of the workers that a job failed on, only the number counts.
+// result. Of the workers that a job failed on, and of the crashes under it, only the
+// number counts.
 type searchKey struct {
 	plan        identifier.PlanID
 	accelerator string
 	shape       packer.Shape
 	failures    int
+	crashes     int
 	expected    time.Duration
 	urgent      bool
 }
@@ -142,7 +144,7 @@
 	spec := &job.Spec
 	return searchKey{
 		plan: spec.Plan, accelerator: spec.Accelerator, shape: spec.Shape, urgent: spec.Urgent,
-		failures: len(job.FailedOn), expected: e.runTimes.expected(spec),
+		failures: len(job.FailedOn), crashes: job.Crashes, expected: e.runTimes.expected(spec),
 	}
 }
 
--- a/placer/slots.go
+++ b/placer/slots.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -66,6 +67,7 @@
 	}
 	if job != nil {
 		e.excludeFailedWorkers(job, slots)
+		e.separateSuspects(job, slots)
 	}
 	return slots
 }
@@ -101,6 +103,26 @@
 	}
 }
 
+// separateSuspects keeps a job under which workers have crashed off workers that run
+// another such job, if it fits elsewhere, so that only one of them can cause the next
+// crash.
+func (e *Engine) separateSuspects(job *Job, slots []packer.Slot) {
+	if job.Crashes == 0 {
+		return
+	}
+	var suspects []identifier.WorkerID
+	for _, w := range e.workerOrder[job.Spec.Accelerator] {
+		if slices.ContainsFunc(w.jobs.list, func(other *Job) bool { return other != job && other.Crashes > 0 }) {
+			suspects = append(suspects, w.info.ID)
+		}
+	}
+	apart := slices.Clone(slots)
+	closeSlots(apart, suspects)
+	if _, fits := packer.Find(apart, job.Spec.Shape); fits {
+		closeSlots(slots, suspects)
+	}
+}
+
 func closeSlots(slots []packer.Slot, workers []identifier.WorkerID) {
 	for i := range slots {
 		if containsWorker(workers, slots[i].Worker) {
