replicator: compact entries into several records

Ruled out: fewer kept entries (a follower that is behind needs them).

TestCompactionKeepsLargeEntries: "record of bytes is over" before, all entries are there after a restart now.

--- a/replicator/compaction_test.go
+++ b/replicator/compaction_test.go
@@ -70,3 +70,32 @@
 		t.Errorf("%d commands after the restart, want %d", restored, proposals)
 	}
 }
+
+// Guards against a compaction that keeps large entries in one record, which the journal
+// can't hold: it ended the node, and so every node in turn.
+func TestCompactionKeepsLargeEntries(t *testing.T) {
+	const count, size = 6, 12 << 20
+	dir := t.TempDir()
+	s, _, err := openStore(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	state := PersistentState{HardState: HardState{Term: 1}, Snapshot: Snapshot{Index: 1, Term: 1}}
+	for i := range count {
+		state.Entries = append(state.Entries, Entry{Index: uint64(i + 2), Term: 1, Data: make([]byte, size)})
+	}
+	if err := s.compact(state); err != nil {
+		t.Fatalf("compact: %v", err)
+	}
+	if err := s.journal.Close(); err != nil {
+		t.Fatal(err)
+	}
+	reopened, restored, err := openStore(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = reopened.journal.Close() }()
+	if len(restored.Entries) != count || restored.Entries[count-1].Index != count+1 || len(restored.Entries[count-1].Data) != size {
+		t.Errorf("%d entries after the restart, want %d", len(restored.Entries), count)
+	}
+}
--- a/replicator/store.go
+++ b/replicator/store.go
@@ -143,16 +143,34 @@
 	if err != nil {
 		return fmt.Errorf("encode snapshot: %w", err)
 	}
-	var records [][]byte
-	if len(state.Entries) > 0 {
-		record, err := json.Marshal(storedRecord{Entries: state.Entries})
-		if err != nil {
-			return fmt.Errorf("encode record: %w", err)
-		}
-		records = append(records, record)
+	records, err := encodeEntries(state.Entries)
+	if err != nil {
+		return err
 	}
 	if err := s.journal.Compact(snapshot, records...); err != nil {
 		return fmt.Errorf("compact log: %w", err)
 	}
 	return nil
 }
+
+// maxRecordData bounds the data of the entries in one record, unless it holds only one.
+const maxRecordData = MaxEntryBytes
+
+// encodeEntries encodes entries in records that the journal can hold.
+func encodeEntries(entries []Entry) ([][]byte, error) {
+	var records [][]byte
+	for len(entries) > 0 {
+		size, count := len(entries[0].Data), 1
+		for count < len(entries) && size+len(entries[count].Data) <= maxRecordData {
+			size += len(entries[count].Data)
+			count++
+		}
+		record, err := json.Marshal(storedRecord{Entries: entries[:count]})
+		if err != nil {
+			return nil, fmt.Errorf("encode record: %w", err)
+		}
+		records = append(records, record)
+		entries = entries[count:]
+	}
+	return records, nil
+}
