coordinator: bound a log entry in bytes

Shown by a scratch test: two leaders in turn stopped with a command of 65 MiB, and the third instance had no quorum left; the caller is told that the outcome is unknown and sends it again. An entry took up to 256 commands of 256 kB.

Change: an entry takes at most about 4 MiB of callers' documents. Ruled out: a bound at the platform's interface alone, since other callers reach the log too.

JobMemory's bound on jobs stands beside it.

--- a/coordinator/calls.go
+++ b/coordinator/calls.go
@@ -90,8 +90,11 @@
 // commitFailure returns the answer for commands that were not committed, or
 // whose outcome is unknown.
 func (c *Coordinator) commitFailure(err error) forwarder.Answer {
-	if errors.Is(err, errNotCommitted) {
+	switch {
+	case errors.Is(err, errNotCommitted):
 		return c.notLeader()
+	case errors.Is(err, replicator.ErrEntryTooLarge):
+		return problemAnswer(responder.CodeTooLarge, "too large for the log; nothing was done")
 	}
 	return problemAnswer(responder.CodeOutcomeUnknown, "the leader lost its office meanwhile")
 }
--- a/coordinator/options.go
+++ b/coordinator/options.go
@@ -37,6 +37,9 @@
 	commitTimeout    = 5 * time.Second
 	announceInterval = 500 * time.Millisecond
 	maxBatchCommands = 256
+	// maxBatchBytes bounds the callers' documents in one log entry. An entry that the
+	// log can't hold would end each leader in turn.
+	maxBatchBytes = 4 << 20
 )
 
 type options struct {
--- a/coordinator/proposer.go
+++ b/coordinator/proposer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"time"
 
@@ -22,7 +23,9 @@
 	// fencingToken is that of the leadership that decided the commands; 0 allows
 	// any.
 	fencingToken scheduler.FencingToken
-	result       chan proposalResult
+	// documentBytes is the size of the callers' documents in the commands.
+	documentBytes int
+	result        chan proposalResult
 }
 
 // proposalResult holds the results of a proposal's commands, in the order of the
@@ -34,7 +37,7 @@
 
 // enqueue queues commands for the proposer. The caller holds mu.
 func (c *Coordinator) enqueue(token scheduler.FencingToken, commands ...scheduler.Command) *proposal {
-	p := &proposal{commands: commands, fencingToken: token, result: make(chan proposalResult, 1)}
+	p := &proposal{commands: commands, fencingToken: token, documentBytes: documentBytes(commands), result: make(chan proposalResult, 1)}
 	c.queue = append(c.queue, p)
 	select {
 	case c.proposalsReady <- struct{}{}:
@@ -45,7 +48,8 @@
 
 // commit commits commands and returns their results. The error is errNotCommitted
 // if they are not committed and never will be, and replicator.ErrOutcomeUnknown
-// if that is unknown. Any other error reports commands that could not be encoded.
+// if that is unknown. Any other error reports commands that could not be encoded or
+// that the log can't hold.
 func (c *Coordinator) commit(ctx context.Context, token scheduler.FencingToken, commands ...scheduler.Command) ([]scheduler.Result, error) {
 	c.mu.Lock()
 	p := c.enqueue(token, commands...)
@@ -62,8 +66,23 @@
 	}
 }
 
+// documentBytes returns a bound of the size of the callers' documents in commands.
+func documentBytes(commands []scheduler.Command) int {
+	size := 0
+	for i := range commands {
+		switch command := &commands[i]; {
+		case command.Configure != nil:
+			size += len(command.Configure.Document)
+		case command.Submit != nil:
+			size += int(command.Submit.Request.DocumentBytes())
+		}
+	}
+	return size
+}
+
 // runProposer commits the queued proposals, one log entry at a time. An entry
-// takes whole proposals until it holds at least maxBatchCommands commands.
+// takes whole proposals until it holds at least maxBatchCommands commands or
+// maxBatchBytes of documents.
 func (c *Coordinator) runProposer(ctx context.Context) {
 	defer c.done.Done()
 	for {
@@ -87,13 +106,15 @@
 	defer c.mu.Unlock()
 	batch := scheduler.Batch{Now: wallTime(), LeaseMillis: c.options.lease.Milliseconds()}
 	var group []*proposal
-	for len(c.queue) > 0 && len(batch.Commands) < maxBatchCommands {
+	size := 0
+	for len(c.queue) > 0 && len(batch.Commands) < maxBatchCommands && size < maxBatchBytes {
 		p := c.queue[0]
 		c.queue = c.queue[1:]
 		if c.lead == nil || p.fencingToken != 0 && p.fencingToken != c.lead.fencingToken {
 			p.result <- proposalResult{err: errNotCommitted}
 			continue
 		}
+		size += p.documentBytes
 		batch.FencingToken = c.lead.fencingToken
 		group = append(group, p)
 		batch.Commands = append(batch.Commands, p.commands...)
@@ -128,8 +149,12 @@
 	defer cancel()
 	start := time.Now()
 	value, err := c.node.Propose(ctx, data)
-	if eris.Is(err, replicator.ErrNotLeader) {
+	switch {
+	case eris.Is(err, replicator.ErrNotLeader):
 		return nil, errNotCommitted
+	case errors.Is(err, replicator.ErrEntryTooLarge):
+		c.event("commit-refused", "commands", len(batch.Commands), "error", err)
+		return nil, err
 	}
 	if err != nil {
 		c.event("commit-unknown", "commands", len(batch.Commands), "error", err)
--- a/replicator/node.go
+++ b/replicator/node.go
@@ -19,6 +19,13 @@
 // has an id.
 var ErrOutcomeUnknown = eris.New("outcome of the command is unknown")
 
+// MaxEntryBytes bounds a command. It leaves a record of the journal room for the
+// encoding of several entries.
+const MaxEntryBytes = 16 << 20
+
+// ErrEntryTooLarge reports a command over MaxEntryBytes, which was not appended.
+var ErrEntryTooLarge = eris.New("command is too large for the log")
+
 // ErrStopped reports a call to a node that has stopped.
 var ErrStopped = eris.New("node has stopped")
 
@@ -172,8 +179,11 @@
 
 // Propose commits a command and returns the result of Apply. The command was not
 // appended if the error is a *NotLeaderError, ErrStopped or one that wraps
-// ctx.Err(). ErrOutcomeUnknown means that it may or may not be committed.
+// ctx.Err() or ErrEntryTooLarge. ErrOutcomeUnknown means that it may or may not be committed.
 func (n *Node) Propose(ctx context.Context, data []byte) (any, error) {
+	if len(data) > MaxEntryBytes {
+		return nil, fmt.Errorf("%d bytes: %w", len(data), ErrEntryTooLarge)
+	}
 	return n.propose(ctx, proposal{data: data, result: make(chan callResult, 1)})
 }
 
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -156,6 +156,17 @@
 	taskStateBytes = int64(unsafe.Sizeof(TaskState{}))
 )
 
+// DocumentBytes bounds the size of the request's encoding, in bytes.
+func (r *Request) DocumentBytes() int64 {
+	const perStep, perDependency = 512, 24
+	size := int64(len(r.Spec)) * 6
+	for i := range r.Steps {
+		step := &r.Steps[i]
+		size += perStep + int64(len(step.DependsOn))*perDependency + 6*int64(len(step.NeedsLabel)+len(step.DataRack)+len(step.Image))
+	}
+	return size
+}
+
 // Footprint estimates the memory that a job with this request takes on each instance
 // until it has ended, in bytes.
 func (r *Request) Footprint() int64 {
