scheduler: count every crash of a run that had just been started

One crash was not counted, since another suspected run on the same worker explained it, so that suspicion and count were one thing.

Change: every crash under a run that had just been started, or of unknown age, counts towards five; only suspicion, which needs three, goes to the likeliest run. When two workers have crashed within 5 s without such a run, likely runs of further crashes are not suspected either, but count. Tasks with two counted crashes are isolated as well.

--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -24,6 +24,10 @@
 	// suspectTime is how long a run must be known to have been alive so that it is not
 	// a likely cause of its worker's crash.
 	suspectTime = time.Second
+	// commonCauseCrashes is the number of other crashes within commonCauseWindow from
+	// which a crash probably has a cause in common with them.
+	commonCauseCrashes = 2
+	commonCauseWindow  = 5 * time.Second
 	// isolationTime is how long after its start a run of a suspected task keeps
 	// other runs off its worker.
 	isolationTime = UnixMilli(3000)
@@ -61,6 +65,11 @@
 	return count
 }
 
+// needsIsolation reports whether a run of the task should not share its worker.
+func (t *TaskState) needsIsolation() bool {
+	return t.suspectedCrashes() > 0 || len(t.Crashes) > 1
+}
+
 // crashesOn counts the crashes of a worker's machine under a task.
 func (t *TaskState) crashesOn(worker *Worker) int {
 	count := 0
@@ -139,18 +148,34 @@
 }
 
 // Suspicion returns the runs that may have crashed the processes that a worker's
-// report shows to have ended. attempts holds the starts of this leader.
+// report shows to have ended, and records a crash that no run explains. attempts holds
+// the starts of this leader.
 func (o *Observer) Suspicion(s *State, worker *Worker, attempts map[RunID]*StartAttempt, now time.Time) *Suspicion {
-	return o.suspicionOf(s, s.replacedBy(worker), attempts, now)
+	replaced := s.replacedBy(worker)
+	suspicion, explained := o.suspicionOf(s, replaced, attempts, now)
+	crashed := slices.ContainsFunc(replaced, func(old *Worker) bool { return old.State == WorkerReady })
+	if crashed && !explained {
+		o.unexplained = append(o.unexplained, now)
+	}
+	o.unexplained = slices.DeleteFunc(o.unexplained, func(at time.Time) bool { return now.Sub(at) >= commonCauseWindow })
+	if suspicion != nil && len(o.unexplained) >= commonCauseCrashes {
+		// These crashes have a cause other than the runs, and so may this one.
+		suspicion.Possible = append(suspicion.Possible, suspicion.Likely...)
+		suspicion.Likely = nil
+	}
+	return suspicion
 }
 
 // SuspicionOfLost returns the runs that may have crashed a worker, if its process has
 // ended.
 func (o *Observer) SuspicionOfLost(s *State, worker *Worker, attempts map[RunID]*StartAttempt, now time.Time) *Suspicion {
-	return o.suspicionOf(s, []*Worker{worker}, attempts, now)
+	suspicion, _ := o.suspicionOf(s, []*Worker{worker}, attempts, now)
+	return suspicion
 }
 
-func (o *Observer) suspicionOf(s *State, workers []*Worker, attempts map[RunID]*StartAttempt, now time.Time) *Suspicion {
+// suspicionOf returns the runs that may have crashed workers, or nil if there are none,
+// and whether one of them may have just been started.
+func (o *Observer) suspicionOf(s *State, workers []*Worker, attempts map[RunID]*StartAttempt, now time.Time) (*Suspicion, bool) {
 	var suspicion Suspicion
 	var older []RunID
 	for _, worker := range workers {
@@ -169,13 +194,14 @@
 			}
 		}
 	}
+	explained := len(suspicion.Likely)+len(suspicion.Possible) > 0
 	if len(suspicion.Likely) == 0 && !o.manyRestarts(s, workers, now) {
 		suspicion.Possible = append(suspicion.Possible, older...)
 	}
 	if len(suspicion.Likely)+len(suspicion.Possible) == 0 {
-		return nil
+		return nil, explained
 	}
-	return &suspicion
+	return &suspicion, explained
 }
 
 // runAge says how long a run had been alive when its worker crashed.
@@ -211,18 +237,17 @@
 // manyRestarts reports whether other workers have recently become unresponsive or
 // started, so that a crash is more likely one of several with a common cause.
 func (o *Observer) manyRestarts(s *State, workers []*Worker, now time.Time) bool {
-	const window, many = 5 * time.Second, 2
 	count := 0
 	for id, observation := range o.observations {
 		other := s.workers[id]
 		if other == nil || slices.ContainsFunc(workers, other.isSameOrConflicts) {
 			continue
 		}
-		if observation.MissedPolls > 0 || observation.firstSeen.After(o.Since) && now.Sub(observation.firstSeen) < window {
+		if observation.MissedPolls > 0 || observation.firstSeen.After(o.Since) && now.Sub(observation.firstSeen) < commonCauseWindow {
 			count++
 		}
 	}
-	return count >= many
+	return count >= commonCauseCrashes
 }
 
 func (w *Worker) isSameOrConflicts(o *Worker) bool { return w.ID == o.ID || w.conflictsWith(o) }
@@ -249,6 +274,12 @@
 	return task != nil && task.suspectedCrashes() > 0
 }
 
+// isolated reports whether a run of the task should not share its worker.
+func (s *State) isolated(id TaskID) bool {
+	task := s.taskOf(id)
+	return task != nil && task.needsIsolation()
+}
+
 // taskOf returns the state of a task, or nil if it is unknown.
 func (s *State) taskOf(id TaskID) *TaskState {
 	job := s.jobs[id.Job]
@@ -278,9 +309,6 @@
 	}
 	for _, run := range slices.Concat(suspicion.Likely, suspicion.Possible) {
 		crash := WorkerCrash{At: now, Machine: old.crashMachine(), RunNumber: run.Number, Suspected: likely[run]}
-		if !crash.Suspected && slices.Contains(suspicion.Likely, run) {
-			continue
-		}
 		if job := s.countCrash(run.Task, crash); job != nil {
 			ended = append(ended, job)
 		}
--- a/scheduler/observer.go
+++ b/scheduler/observer.go
@@ -96,6 +96,9 @@
 	// unanswered holds the starts without a response and when each was recorded,
 	// by worker.
 	unanswered map[identifier.WorkerID]map[RunID]time.Time
+	// unexplained holds when workers crashed recently without a run that had just
+	// been started.
+	unexplained []time.Time
 	// avoided holds the workers on which each task has failed or stalled, until
 	// a run of the task succeeds or its job ends.
 	avoided map[TaskID]map[identifier.WorkerID]bool
--- a/scheduler/pass.go
+++ b/scheduler/pass.go
@@ -102,7 +102,7 @@
 		}
 		for id, run := range s.placed[worker.ID] {
 			c.addRun(s, o, id, run)
-			c.hasSuspect = c.hasSuspect || wall-run.Assigned < isolationTime && s.suspected(id.Task)
+			c.hasSuspect = c.hasSuspect || wall-run.Assigned < isolationTime && s.isolated(id.Task)
 		}
 		p.candidates = append(p.candidates, c)
 		p.byWorker[worker.ID] = c
@@ -198,7 +198,7 @@
 	p.usage.charge(u.job, u.step, 1)
 	c.countRuns(u.step, u.id(), 1)
 	c.runs++
-	c.hasSuspect = c.hasSuspect || u.suspectedCrashes() > 0
+	c.hasSuspect = c.hasSuspect || u.needsIsolation()
 	c.hasServing = c.hasServing || u.step.Serves()
 	c.hasBestEffort = c.hasBestEffort || u.step.BestEffort
 }
@@ -387,7 +387,7 @@
 func (u *unit) isolationCost(index int, c *candidate) float64 {
 	task := &u.state.Tasks[index]
 	cost := costAvoided * float64(task.crashesOn(c.worker))
-	if c.runs > 0 && task.suspectedCrashes() > 0 {
+	if c.runs > 0 && task.needsIsolation() {
 		cost += costSuspect
 	}
 	return cost
--- a/scheduler/planner.go
+++ b/scheduler/planner.go
@@ -259,6 +259,11 @@
 	return most
 }
 
+// needsIsolation reports whether a task of the unit should not share its worker.
+func (u *unit) needsIsolation() bool {
+	return slices.ContainsFunc(u.tasks, func(index int) bool { return u.state.Tasks[index].needsIsolation() })
+}
+
 // overdueRankPenalty is added to the rank of units whose job is so late that
 // completing it has no value any more.
 const overdueRankPenalty = 1000
