node: bound the bodies of calls that are handled at a time

Change: the bodies of calls that a process handles at a time may have 5 % of memory-mib; those up to 8 KiB are not counted, and the log's messages never are. What does not fit is refused with 429 and a time to retry before the body is read; it has not run. A counted body must arrive within 10 s. The metric bodies shows limit, use and refusals.

Ruled out: fewer connections (a caller keeps one open between calls), a bound for each connection alone.

TestLargeBodiesAreRefusedBeyondMemory.

--- a/cranberryd/node/node.go
+++ b/cranberryd/node/node.go
@@ -70,6 +70,7 @@
 	deps      Dependencies
 	messenger *messenger.Messenger
 	budgeter  *budgeter.Budgeter
+	bodies    *bodyBudget
 	recorder  *recorder.Recorder
 	logger    log.Logger
 	// engine routes the calls of other instances.
@@ -119,11 +120,12 @@
 	shares := newBudgeter(settings)
 	dial := messenger.Dial(shares.Dial(purposeInstances, budgeter.Dial(messenger.DialTimeout(deps.Dial, peerDialTimeout))))
 	p := &components{
-		settings: settings, deps: deps, logger: deps.Logger, budgeter: shares,
+		settings: settings, deps: deps, logger: deps.Logger, budgeter: shares, bodies: newBodyBudget(settings),
 		messenger: messenger.NewBounded("", dial, connsPerInstance), recorder: recorder.New(), engine: gin.New(),
 		failed: make(chan error, 1),
 	}
 	p.recorder.Publish("descriptors", p.descriptorUsage)
+	p.recorder.Publish("bodies", p.bodies.usage)
 	p.recorder.Publish("log.lines-dropped", func() any { return deps.DroppedLines() })
 	p.engine.Use(gin.Recovery())
 	p.engine.GET(varsPath, p.serveVars)
@@ -132,7 +134,7 @@
 			if err := p.serveMetrics(); err != nil {
 				return err
 			}
-			return p.serve(settings.Address, purposeCalls, p.engine)
+			return p.serve(settings.Address, purposeCalls, p.bodies.boundForwarded(p.engine))
 		},
 		OnStop: p.shutdown,
 	})
--- a/responder/responder.go
+++ b/responder/responder.go
@@ -53,15 +53,28 @@
 
 // Fail writes an error response and aborts the handler chain.
 func Fail(c *gin.Context, problem Problem) {
-	c.Header(HeaderCode, string(problem.Code))
-	if problem.RetryAfter > 0 {
-		seconds := (problem.RetryAfter + time.Second - 1) / time.Second
-		c.Header("Retry-After", strconv.FormatInt(int64(seconds), 10))
+	problem.setHeaders(c.Writer.Header())
+	c.AbortWithStatusJSON(problem.Status, problem.body())
+}
+
+// Write writes an error response.
+func Write(w http.ResponseWriter, problem Problem) {
+	problem.setHeaders(w.Header())
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(problem.Status)
+	_ = json.NewEncoder(w).Encode(problem.body())
+}
+
+func (p *Problem) setHeaders(header http.Header) {
+	header.Set(HeaderCode, string(p.Code))
+	if p.RetryAfter > 0 {
+		seconds := (p.RetryAfter + time.Second - 1) / time.Second
+		header.Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
 	}
-	c.AbortWithStatusJSON(problem.Status, problemBody{
-		Code: problem.Code, Reason: problem.Reason,
-		RetryAfter: problem.RetryAfter.Milliseconds(),
-	})
+}
+
+func (p *Problem) body() problemBody {
+	return problemBody{Code: p.Code, Reason: p.Reason, RetryAfter: p.RetryAfter.Milliseconds()}
 }
 
 // Decode decodes a JSON body of at most limit bytes into value. It refuses unknown
