scheduler: count a crash once for each process that has ended

A report that shows two processes to have ended (its own earlier one and that at its address) counted each crash twice; a report sent again before the first was committed counted an unexplained crash twice. The suspicion is now split by process, and unexplained crashes are kept by worker. Whether a unit is suspected is found once when it is made, not once for each of its tasks that is placed.

TestCrashCountsOnceForEachProcess: two crashes for each task before, one now.

--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -153,11 +154,12 @@
 func (o *Observer) Suspicion(s *State, worker *Worker, attempts map[RunID]*StartAttempt, now time.Time) *Suspicion {
 	replaced := s.replacedBy(worker)
 	suspicion, explained := o.suspicionOf(s, replaced, attempts, now)
-	crashed := slices.ContainsFunc(replaced, func(old *Worker) bool { return old.State == WorkerReady })
-	if crashed && !explained {
-		o.unexplained = append(o.unexplained, now)
+	for _, old := range replaced {
+		if old.State == WorkerReady && !explained {
+			o.unexplained[old.ID] = now
+		}
 	}
-	o.unexplained = slices.DeleteFunc(o.unexplained, func(at time.Time) bool { return now.Sub(at) >= commonCauseWindow })
+	maps.DeleteFunc(o.unexplained, func(_ identifier.WorkerID, at time.Time) bool { return now.Sub(at) >= commonCauseWindow })
 	if suspicion != nil && len(o.unexplained) >= commonCauseCrashes {
 		// These crashes have a cause other than the runs, and so may this one.
 		suspicion.Possible = append(suspicion.Possible, suspicion.Likely...)
@@ -294,14 +296,15 @@
 // place. Unless the worker was leaving, the crash counts for the tasks that may have
 // caused it. It returns the runs that ended, and the jobs that are given up.
 func (s *State) recordRestart(old, next *Worker, suspicion *Suspicion, now UnixMilli) ([]LostRun, []*Job) {
-	suspicion = old.LostRuns.with(suspicion)
+	runs := s.runsOfIncarnation(old)
+	suspicion = old.LostRuns.with(suspicion.among(runs))
 	if old.State != WorkerReady || s.inUpkeep(old.Machine) {
 		suspicion = &Suspicion{}
 	}
 	likely := s.likely(suspicion)
 	var lost []LostRun
 	var ended []*Job
-	for _, run := range s.runsOfIncarnation(old) {
+	for _, run := range runs {
 		lost = append(lost, LostRun{Run: run.ID, Worker: old.ID, Incarnation: old.Incarnation, Suspected: likely[run.ID]})
 		if job := s.active[run.ID.Task.Job]; job != nil {
 			job.addEvent(now, "%s ended with its worker %s, which has restarted as %s", run.ID, old.ID, next.ID)
@@ -342,15 +345,7 @@
 	if suspicion == nil || worker == nil || worker.Incarnation != run.Incarnation {
 		return
 	}
-	if worker.LostRuns == nil {
-		worker.LostRuns = &Suspicion{}
-	}
-	if slices.Contains(suspicion.Likely, run.ID) {
-		worker.LostRuns.Likely = append(worker.LostRuns.Likely, run.ID)
-	}
-	if slices.Contains(suspicion.Possible, run.ID) {
-		worker.LostRuns.Possible = append(worker.LostRuns.Possible, run.ID)
-	}
+	worker.LostRuns = worker.LostRuns.with(suspicion.among([]*Run{run}))
 }
 
 // with returns the runs of two suspicions. Both may be nil.
@@ -365,6 +360,21 @@
 	return &both
 }
 
+// among returns the part of a suspicion that names the given runs. The receiver may be
+// nil.
+func (s *Suspicion) among(runs []*Run) *Suspicion {
+	var part Suspicion
+	for _, run := range runs {
+		if s != nil && slices.Contains(s.Likely, run.ID) {
+			part.Likely = append(part.Likely, run.ID)
+		}
+		if s != nil && slices.Contains(s.Possible, run.ID) {
+			part.Possible = append(part.Possible, run.ID)
+		}
+	}
+	return &part
+}
+
 // clear removes a run from a suspicion, which may be nil.
 func (s *Suspicion) clear(run RunID) {
 	if s == nil {
--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -301,3 +301,28 @@
 		})
 	}
 }
+
+// Guards against counting one crash twice when a report shows that two processes have
+// ended.
+func TestCrashCountsOnceForEachProcess(t *testing.T) {
+	p := newPool(t, 2)
+	var deadly []TaskID
+	for i := range 2 {
+		deadly = append(deadly, TaskID{Job: p.submit(i+1, "long", tasks(1, 8))})
+	}
+	p.plan()
+	attempts := map[RunID]*StartAttempt{}
+	for id, run := range p.state.runs {
+		attempts[id] = &StartAttempt{Ordered: p.now}
+		observation := p.observer.Observation(run.Worker)
+		observation.MissedPolls, observation.MissedSince = 1, p.now
+	}
+	next := *p.state.Worker("w00")
+	next.Incarnation, next.Address = 2, p.state.Worker("w01").Address
+	p.apply(Command{Register: &next, Suspicion: p.observer.Suspicion(p.state, &next, attempts, p.now)})
+	for _, task := range deadly {
+		if crashes := p.state.taskOf(task).Crashes; len(crashes) != 1 || !crashes[0].Suspected {
+			t.Errorf("%s: %+v, want one suspected crash", task, crashes)
+		}
+	}
+}
--- a/scheduler/observer.go
+++ b/scheduler/observer.go
@@ -98,7 +98,7 @@
 	unanswered map[identifier.WorkerID]map[RunID]time.Time
 	// unexplained holds when workers crashed recently without a run that had just
 	// been started.
-	unexplained []time.Time
+	unexplained map[identifier.WorkerID]time.Time
 	// avoided holds the workers on which each task has failed or stalled, until
 	// a run of the task succeeds or its job ends.
 	avoided map[TaskID]map[identifier.WorkerID]bool
@@ -130,6 +130,7 @@
 		observations: map[identifier.WorkerID]*WorkerObservation{},
 		unanswered:   map[identifier.WorkerID]map[RunID]time.Time{},
 		avoided:      map[TaskID]map[identifier.WorkerID]bool{},
+		unexplained:  map[identifier.WorkerID]time.Time{},
 	}
 }
 
--- a/scheduler/pass.go
+++ b/scheduler/pass.go
@@ -198,7 +198,7 @@
 	p.usage.charge(u.job, u.step, 1)
 	c.countRuns(u.step, u.id(), 1)
 	c.runs++
-	c.hasSuspect = c.hasSuspect || u.needsIsolation()
+	c.hasSuspect = c.hasSuspect || u.needsIsolation
 	c.hasServing = c.hasServing || u.step.Serves()
 	c.hasBestEffort = c.hasBestEffort || u.step.BestEffort
 }
--- a/scheduler/planner.go
+++ b/scheduler/planner.go
@@ -89,6 +89,10 @@
 	// by the estimates.
 	latestStart UnixMilli
 	waited      time.Duration
+	// suspectedCrashes is the largest number of crashes that a task of the unit is
+	// suspected of, and needsIsolation says that one should not share its worker.
+	suspectedCrashes int
+	needsIsolation   bool
 	// rackWaitOver says that the unit no longer waits for its preferred rack. It is
 	// set when the unit is placed.
 	rackWaitOver bool
@@ -241,7 +245,7 @@
 	u := &unit{job: job, occurrence: occurrence, stepIndex: stepIndex, step: step, state: state}
 	for i := range state.Tasks {
 		if !state.Tasks[i].Done && state.Tasks[i].LiveRuns == 0 {
-			u.tasks = append(u.tasks, i)
+			u.addTask(i)
 		}
 	}
 	if len(u.tasks) == 0 {
@@ -250,18 +254,12 @@
 	return u
 }
 
-// suspectedCrashes returns the most crashes that a task of the unit is suspected of.
-func (u *unit) suspectedCrashes() int {
-	most := 0
-	for _, index := range u.tasks {
-		most = max(most, u.state.Tasks[index].suspectedCrashes())
+func (u *unit) addTask(index int) {
+	u.tasks = append(u.tasks, index)
+	if task := &u.state.Tasks[index]; len(task.Crashes) > 0 {
+		u.suspectedCrashes = max(u.suspectedCrashes, task.suspectedCrashes())
+		u.needsIsolation = u.needsIsolation || task.needsIsolation()
 	}
-	return most
-}
-
-// needsIsolation reports whether a task of the unit should not share its worker.
-func (u *unit) needsIsolation() bool {
-	return slices.ContainsFunc(u.tasks, func(index int) bool { return u.state.Tasks[index].needsIsolation() })
 }
 
 // overdueRankPenalty is added to the rank of units whose job is so late that
@@ -275,7 +273,7 @@
 	u.rank = u.job.Policy.Priority
 	if u.step.LongRunning {
 		u.rank = 0
-	} else if u.suspectedCrashes() > 1 {
+	} else if u.suspectedCrashes > 1 {
 		u.mayPreempt = false
 	}
 	objective := u.job.objectiveTime(u.occurrence)
