--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -276,12 +276,6 @@
 	return task != nil && task.suspectedCrashes() > 0
 }
 
-// isolated reports whether a run of the task should not share its worker.
-func (s *State) isolated(id TaskID) bool {
-	task := s.taskOf(id)
-	return task != nil && task.needsIsolation()
-}
-
 // taskOf returns the state of a task, or nil if it is unknown.
 func (s *State) taskOf(id TaskID) *TaskState {
 	job := s.jobs[id.Job]
--- a/scheduler/pass.go
+++ b/scheduler/pass.go
@@ -101,8 +101,7 @@
 			quiet: o.observations[worker.ID].quiet(now),
 		}
 		for id, run := range s.placed[worker.ID] {
-			c.addRun(s, o, id, run)
-			c.hasSuspect = c.hasSuspect || wall-run.Assigned < isolationTime && s.isolated(id.Task)
+			c.addRun(s, o, id, run, wall)
 		}
 		p.candidates = append(p.candidates, c)
 		p.byWorker[worker.ID] = c
@@ -127,11 +126,16 @@
 	}
 }
 
-func (c *candidate) addRun(s *State, o *Observer, id RunID, run *Run) {
-	step := s.StepOf(id.Task)
+func (c *candidate) addRun(s *State, o *Observer, id RunID, run *Run, wall UnixMilli) {
+	job, known := s.jobs[id.Task.Job]
+	if !known {
+		return
+	}
+	step, _, task := job.step(id.Task)
 	if step == nil {
 		return
 	}
+	c.hasSuspect = c.hasSuspect || len(task.Crashes) > 0 && task.needsIsolation() && wall-run.Assigned < isolationTime
 	c.free = c.free.Minus(step.Demand())
 	if !o.Stopping(run) {
 		c.afterStops = c.afterStops.Minus(step.Demand())
