--- a/coordinator/deadly_task_test.go
+++ b/coordinator/crash_loop_test.go
@@ -14,14 +14,14 @@
 const (
 	crashDelay       = 10 * time.Millisecond
 	crashRestartTime = 3 * time.Second
-	// maxDeadlyStarts is the number of starts of a task up to which it may crash its
+	// maxCrashLoopStarts is the number of starts of a task up to which it may crash its
 	// workers: three, and two more.
-	maxDeadlyStarts = 5
+	maxCrashLoopStarts = 5
 )
 
 // Guards against a task that crashes each worker that starts it and is started again
 // without end, on one worker after the other.
-func TestDeadlyTaskIsGivenUp(t *testing.T) {
+func TestCrashLoopingTaskIsGivenUp(t *testing.T) {
 	gang := step(3, 2000, 2)
 	gang.Gang = true
 	copied := step(3, 2000, 2)
@@ -65,7 +65,7 @@
 				}
 				c.waitForState(test.queue, jobID(1), "failed", 60*time.Second)
 				c.waitForState("long", jobID(2), "completed", 60*time.Second)
-				c.checkDeadlyStarts(scheduler.TaskID{Job: jobID(1), Index: 1})
+				c.checkCrashLoopStarts(scheduler.TaskID{Job: jobID(1), Index: 1})
 				answer := c.callUntilOK(forwarder.Call{Kind: forwarder.KindExplain, Path: string(jobID(1))}, 5*time.Second)
 				if wanted := string(jobID(1)) + ".0.0.1 crashed "; !strings.Contains(string(answer.Document), wanted) {
 					t.Errorf("%q is missing from the explanation: %s", wanted, answer.Document)
@@ -75,9 +75,9 @@
 	}
 }
 
-// checkDeadlyStarts checks that a task which crashes its workers was not started again
+// checkCrashLoopStarts checks that a task which crashes its workers was not started again
 // without end.
-func (c *cluster) checkDeadlyStarts(task scheduler.TaskID) {
+func (c *cluster) checkCrashLoopStarts(task scheduler.TaskID) {
 	c.t.Helper()
 	starts := 0
 	for _, event := range c.workerCluster.History() {
@@ -85,8 +85,8 @@
 			starts++
 		}
 	}
-	if starts > maxDeadlyStarts {
-		c.t.Errorf("%s was started %d times, want at most %d", task, starts, maxDeadlyStarts)
+	if starts > maxCrashLoopStarts {
+		c.t.Errorf("%s was started %d times, want at most %d", task, starts, maxCrashLoopStarts)
 	}
 }
 
--- a/cranberryd/cluster/requests_test.go
+++ b/cranberryd/cluster/requests_test.go
@@ -156,7 +156,7 @@
 		for i := range 8 {
 			upstream := c.addUpstream(fmt.Sprintf("u%d", i), 4, "dc1")
 			upstream.Run = func(ctx context.Context, work faker.UpstreamRequest) string {
-				if work.Body != "deadly" {
+				if work.Body != "crashing" {
 					return "done " + work.Body
 				}
 				crashes.Add(1)
@@ -166,7 +166,7 @@
 			}
 		}
 		c.startWithTestLists()
-		response := c.postRequest("a", isukuHeader(""), "deadly")
+		response := c.postRequest("a", isukuHeader(""), "crashing")
 		if response.code() != "outcome-unknown" || !strings.Contains(response.body, "lost 3 upstreams") {
 			t.Errorf("got %d %s, want an unknown outcome and the reason", response.status, response.body)
 		}
--- a/placer/scenario_test.go
+++ b/placer/scenario_test.go
@@ -111,14 +111,14 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			s := newFaultlessSimulation(t)
-			deadly := newSimJob("deadly", "zebra", test.shape, 10*time.Second)
-			deadly.deadly = true
+			crashing := newSimJob("crashing", "zebra", test.shape, 10*time.Second)
+			crashing.crashing = true
 			s.mustSubmit(newSimJob("before", "zebra", oneShape, 20*time.Second))
 			s.runFor(3 * time.Second)
-			s.mustSubmit(deadly)
+			s.mustSubmit(crashing)
 			s.mustSubmit(newSimJob("beside", "zebra", oneShape, 10*time.Second))
-			s.runUntil("deadly", StateFailed, time.Minute)
-			if job := s.job("deadly"); !strings.Contains(job.Reason, "crashed 3 workers") {
+			s.runUntil("crashing", StateFailed, time.Minute)
+			if job := s.job("crashing"); !strings.Contains(job.Reason, "crashed 3 workers") {
 				t.Errorf("given up for another reason: %s", job.Reason)
 			}
 			s.runUntil("before", StateFinished, time.Minute)
--- a/placer/simulation_test.go
+++ b/placer/simulation_test.go
@@ -54,8 +54,8 @@
 type simJob struct {
 	spec    Spec
 	runTime time.Duration
-	// broken jobs fail on every machine, and deadly ones crash it.
-	broken, deadly bool
+	// broken jobs fail on every machine, and crashing ones crash it.
+	broken, crashing bool
 }
 
 // simulation drives an engine with simulated workers in virtual time and checks
@@ -247,7 +247,7 @@
 	}
 	changed := false
 	for id, task := range m.tasks {
-		if s.jobs[id.Job].deadly && s.now.Sub(task.began) >= 200*time.Millisecond {
+		if s.jobs[id.Job].crashing && s.now.Sub(task.began) >= 200*time.Millisecond {
 			s.crash(m)
 			return
 		}
--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -121,7 +121,7 @@
 // suspected before is not suspected, and outlives it.
 func TestBystanderOfSuspectedTaskIsNotSuspected(t *testing.T) {
 	p := newPool(t, 1)
-	deadly := TaskID{Job: p.submit(1, "long", tasks(1, 2))}
+	crashing := TaskID{Job: p.submit(1, "long", tasks(1, 2))}
 	p.plan()
 	p.crash("w00", crashed{age: 10 * time.Millisecond})
 	bystander := TaskID{Job: p.submit(2, "long", tasks(1, 2))}
@@ -132,7 +132,7 @@
 	if count := p.state.taskOf(bystander).suspectedCrashes(); count != 0 {
 		t.Errorf("the bystander is suspected of %d crashes", count)
 	}
-	if phase := p.state.Job(deadly.Job).Phase; phase != PhaseFailed {
+	if phase := p.state.Job(crashing.Job).Phase; phase != PhaseFailed {
 		t.Errorf("the task that crashes its workers is %s after five crashes", phase)
 	}
 	p.plan()
@@ -145,25 +145,25 @@
 // Guards against a count that misses crashes: whatever else may explain them, and
 // however the leaders change, a task that has just been started on each worker that
 // crashes is given up after five.
-func TestDeadlyTaskIsGivenUpAmongOtherCrashes(t *testing.T) {
+func TestCrashLoopingTaskIsGivenUpAmongOtherCrashes(t *testing.T) {
 	for seed := range uint64(200) {
 		random := rand.New(rand.NewPCG(seed, 1))
 		p := newPool(t, 6)
-		deadly := TaskID{Job: p.submit(1, "long", tasks(1, 1))}
-		for crashes := 1; p.state.Job(deadly.Job).Active(); crashes++ {
+		crashing := TaskID{Job: p.submit(1, "long", tasks(1, 1))}
+		for crashes := 1; p.state.Job(crashing.Job).Active(); crashes++ {
 			if crashes > maxCrashes {
-				t.Fatalf("seed %d: not given up after %d crashes: %+v", seed, crashes-1, p.state.taskOf(deadly).Crashes)
+				t.Fatalf("seed %d: not given up after %d crashes: %+v", seed, crashes-1, p.state.taskOf(crashing).Crashes)
 			}
 			beside := p.submit(1+crashes, "plan", tasks(1+random.IntN(12), 1))
 			for range random.IntN(4) {
 				p.crash(identifier.WorkerID(fmt.Sprintf("w%02d", random.IntN(6))), crashed{age: time.Duration(random.IntN(3000)) * time.Millisecond, restart: 100 * time.Millisecond})
 				p.plan()
 			}
-			if p.workerOf(deadly) == "" {
+			if p.workerOf(crashing) == "" {
 				p.plan()
 			}
-			if p.state.Job(deadly.Job).Active() {
-				p.crash(p.workerOf(deadly), crashed{age: 10 * time.Millisecond, silent: random.IntN(3) == 0, newLeader: random.IntN(3) == 0})
+			if p.state.Job(crashing.Job).Active() {
+				p.crash(p.workerOf(crashing), crashed{age: 10 * time.Millisecond, silent: random.IntN(3) == 0, newLeader: random.IntN(3) == 0})
 			}
 			p.apply(Command{Cancel: &Cancel{Job: beside}})
 			for run := range p.state.runs {
@@ -178,7 +178,7 @@
 // after five.
 func TestCrashBesideSuspectedRunCounts(t *testing.T) {
 	p := newPool(t, 1)
-	deadly := TaskID{Job: p.submit(1, "long", tasks(1, 2))}
+	crashing := TaskID{Job: p.submit(1, "long", tasks(1, 2))}
 	for round := range maxCrashes {
 		beside := TaskID{Job: p.submit(2+round, "long", tasks(1, 2))}
 		p.state.taskOf(beside).recordCrash(WorkerCrash{At: p.wall(), Machine: "other", Suspected: true})
@@ -186,7 +186,7 @@
 		p.crash("w00", crashed{age: 10 * time.Millisecond})
 		p.apply(Command{Cancel: &Cancel{Job: beside.Job}})
 	}
-	if job := p.state.Job(deadly.Job); job.Phase != PhaseFailed {
+	if job := p.state.Job(crashing.Job); job.Phase != PhaseFailed {
 		t.Errorf("the job is %s after %d crashes", job.Phase, maxCrashes)
 	}
 }
@@ -198,15 +198,15 @@
 	spread := tasks(3, 2)
 	spread.SpreadLimit = 1
 	p.submit(1, "plan", spread)
-	deadly := TaskID{Job: p.submit(2, "plan", tasks(1, 4))}
+	crashing := TaskID{Job: p.submit(2, "plan", tasks(1, 4))}
 	p.plan()
-	first := p.workerOf(deadly)
+	first := p.workerOf(crashing)
 	if len(p.state.RunsOn(first)) != 2 {
 		t.Fatal("the task shares no worker before the first crash")
 	}
 	p.crash(first, crashed{age: 10 * time.Millisecond})
 	p.plan()
-	second := p.workerOf(deadly)
+	second := p.workerOf(crashing)
 	if second == first {
 		t.Errorf("the task is placed again on %s, which it crashed", first)
 	}
@@ -223,11 +223,11 @@
 // each time that they are started again.
 func TestSuspectedTaskDoesNotPreempt(t *testing.T) {
 	p := newPool(t, 2)
-	deadly := TaskID{Job: p.submit(1, "urgent", tasks(1, 8))}
+	crashing := TaskID{Job: p.submit(1, "urgent", tasks(1, 8))}
 	p.plan()
 	for range 2 {
-		p.crash(p.workerOf(deadly), crashed{age: 10 * time.Millisecond})
-		if p.state.taskOf(deadly).suspectedCrashes() < 2 {
+		p.crash(p.workerOf(crashing), crashed{age: 10 * time.Millisecond})
+		if p.state.taskOf(crashing).suspectedCrashes() < 2 {
 			p.plan()
 		}
 	}
@@ -306,9 +306,9 @@
 // ended.
 func TestCrashCountsOnceForEachProcess(t *testing.T) {
 	p := newPool(t, 2)
-	var deadly []TaskID
+	var crashing []TaskID
 	for i := range 2 {
-		deadly = append(deadly, TaskID{Job: p.submit(i+1, "long", tasks(1, 8))})
+		crashing = append(crashing, TaskID{Job: p.submit(i+1, "long", tasks(1, 8))})
 	}
 	p.plan()
 	attempts := map[RunID]*StartAttempt{}
@@ -320,7 +320,7 @@
 	next := *p.state.Worker("w00")
 	next.Incarnation, next.Address = 2, p.state.Worker("w01").Address
 	p.apply(Command{Register: &next, Suspicion: p.observer.Suspicion(p.state, &next, attempts, p.now)})
-	for _, task := range deadly {
+	for _, task := range crashing {
 		if crashes := p.state.taskOf(task).Crashes; len(crashes) != 1 || !crashes[0].Suspected {
 			t.Errorf("%s: %+v, want one suspected crash", task, crashes)
 		}
