scheduler: orders that empty and return data centres, in the log's state

Cause: an operator's order to empty a data centre is answered with 404; nothing keeps such a state. Nothing acts on the state yet. Ruled out: a field of the catalog, draining each worker (docs/design/demand.md).

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -37,12 +37,17 @@
 	KindWaveProgress Kind = "wave-progress"
 	KindExplain      Kind = "explain"
 	KindOverview     Kind = "overview"
+
+	KindEmptyDataCenter  Kind = "empty-data-center"
+	KindReturnDataCenter Kind = "return-data-center"
+	KindDataCenters      Kind = "data-centers"
+	KindEstimates        Kind = "estimates"
 )
 
 // mutates reports whether calls of this kind change any state.
 func (k Kind) mutates() bool {
 	switch k {
-	case KindState, KindReadCatalog, KindWaveProgress, KindExplain, KindOverview:
+	case KindState, KindReadCatalog, KindWaveProgress, KindExplain, KindOverview, KindDataCenters, KindEstimates:
 		return false
 	}
 	return true
@@ -59,6 +64,11 @@
 	Key    string              `json:"key,omitempty"`
 	Worker identifier.WorkerID `json:"worker,omitempty"`
 	Wave   int64               `json:"wave,omitempty"`
+	// DataCenter is the data centre that an order is about.
+	DataCenter identifier.DataCenterID `json:"data-center,omitempty"`
+	// IfVersion is the version that the data centre must have if the order would
+	// change anything; nil means any.
+	IfVersion *uint64 `json:"if-version,omitempty"`
 	// Document is the request body, unchanged.
 	Document json.RawMessage `json:"document,omitempty"`
 }
--- a/scheduler/apply.go
+++ b/scheduler/apply.go
@@ -49,6 +49,8 @@
 		return s.applyWave(*command.Wave, batch.Now)
 	case command.Upkeep != nil:
 		return s.applyUpkeep(*command.Upkeep, batch.Now)
+	case command.DataCenter != nil:
+		return s.applyDataCenter(command.DataCenter, batch.Now)
 	}
 	return Result{Outcome: OutcomeInvalid, Reason: "empty command"}
 }
--- a/scheduler/command.go
+++ b/scheduler/command.go
@@ -30,6 +30,8 @@
 	Leave     *Leave     `json:"leave,omitempty"`
 	Wave      *Wave      `json:"wave,omitempty"`
 	Upkeep    *Upkeep    `json:"upkeep,omitempty"`
+	// DataCenter empties or returns a data centre.
+	DataCenter *DataCenterOrder `json:"data-center,omitempty"`
 }
 
 // Configure offers a catalog, which takes effect if its version is higher than
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -20,6 +20,8 @@
 	workers  map[identifier.WorkerID]*Worker
 	runs     map[RunID]*Run
 	waves    map[WaveID]*Wave
+	// dataCenters holds the data centres for which there was an order.
+	dataCenters map[identifier.DataCenterID]DataCenterState
 	// prunedAt is when ended jobs were last pruned.
 	prunedAt UnixMilli
 	lease    leaderLease
@@ -41,8 +43,11 @@
 		workers: map[identifier.WorkerID]*Worker{},
 		runs:    map[RunID]*Run{},
 		waves:   map[WaveID]*Wave{},
-		active:  map[identifier.JobID]*Job{},
-		placed:  map[identifier.WorkerID]map[RunID]*Run{},
+
+		dataCenters: map[identifier.DataCenterID]DataCenterState{},
+
+		active: map[identifier.JobID]*Job{},
+		placed: map[identifier.WorkerID]map[RunID]*Run{},
 	}
 }
 
@@ -53,6 +58,8 @@
 	Workers  []*Worker `json:"workers,omitempty"`
 	Runs     []*Run    `json:"runs,omitempty"`
 	Waves    []*Wave   `json:"waves,omitempty"`
+	// DataCenters is absent in snapshots of versions that did not know such orders.
+	DataCenters []DataCenterState `json:"data-centers,omitempty"`
 	// PrunedAt is when ended jobs were last pruned.
 	PrunedAt UnixMilli   `json:"forgotten,omitempty"`
 	Lease    leaderLease `json:"lease,omitzero"`
@@ -60,7 +67,7 @@
 
 // Snapshot encodes the state.
 func (s *State) Snapshot() ([]byte, error) {
-	stored := storedState{Document: s.document, PrunedAt: s.prunedAt, Lease: s.lease}
+	stored := storedState{Document: s.document, PrunedAt: s.prunedAt, Lease: s.lease, DataCenters: s.DataCenters()}
 	for _, job := range s.jobs {
 		stored.Jobs = append(stored.Jobs, job)
 	}
@@ -118,6 +125,9 @@
 	for _, wave := range stored.Waves {
 		fresh.waves[wave.ID] = wave
 	}
+	for _, state := range stored.DataCenters {
+		fresh.dataCenters[state.Name] = state
+	}
 	*s = *fresh
 	return nil
 }
