scheduler: order units of equal rank and interval by the shares of their teams

Cause: among waiting work of one rank, a team that floods a pool goes first with all that it submits earlier, whatever it holds. Queues ask with fair-share, teams have a weight, and the planner has the setting FairShare. Within one interval of 500 ms of latest starts, the contender with the smallest share is next, and what the pass places counts at once: large units are placed in turns of a 32nd of the pool. Ruled out: one sort by the shares at the start of the pass (the team with the smallest share would be given everything first); a comparison by share only between two units that both take part, without regard to intervals for the others (not transitive).

--- a/scheduler/apply.go
+++ b/scheduler/apply.go
@@ -30,7 +30,7 @@
 func (s *State) apply(command *Command, batch Batch) Result {
 	switch {
 	case command.Configure != nil:
-		return s.applyConfigure(command.Configure.Document)
+		return s.applyConfigure(command.Configure.Document, batch.Now)
 	case command.Submit != nil:
 		return s.applySubmit(command.Submit, batch.Now)
 	case command.Cancel != nil:
@@ -55,7 +55,7 @@
 	return Result{Outcome: OutcomeInvalid, Reason: "empty command"}
 }
 
-func (s *State) applyConfigure(document Document) Result {
+func (s *State) applyConfigure(document Document, now UnixMilli) Result {
 	catalog, err := ParseCatalog(document)
 	if err != nil {
 		return Result{Outcome: OutcomeInvalid, Reason: err.Error()}
@@ -67,9 +67,10 @@
 	s.document = document
 	for _, job := range s.active {
 		if queue := catalog.Queue(job.Queue); queue != nil {
-			job.Policy = queue.policy()
+			s.setPolicy(job, queue.policy(), now)
 		}
 	}
+	s.retainShares()
 	return Result{Outcome: OutcomeDone}
 }
 
@@ -128,6 +129,7 @@
 		task.LiveRuns++
 		state.LiveRuns++
 		job.liveRuns++
+		s.chargeRuns(job, step, 1, batch.Now)
 		if step.Gang {
 			state.RunNumber = max(state.RunNumber, run.ID.Number)
 		}
@@ -194,7 +196,7 @@
 	if run.Worker != record.Worker {
 		return nil
 	}
-	s.removeRun(run)
+	s.removeRun(run, now)
 	job := s.jobs[end.Run.Task.Job]
 	if job == nil || !job.Active() {
 		return nil
@@ -289,7 +291,7 @@
 	for i, id := range drop.Runs {
 		if run := s.runs[id]; run != nil {
 			s.recordLost(run, drop.Suspicion)
-			s.removeRun(run)
+			s.removeRun(run, now)
 			result.Outcome = OutcomeDone
 			if job := s.active[id.Task.Job]; job != nil {
 				job.addEvent(now, "%s is lost on %s: %s", id, run.Worker, drop.Reason)
@@ -338,7 +340,7 @@
 		result.Lost = append(result.Lost, lost...)
 		result.Ended = append(result.Ended, ended...)
 		if other != known {
-			s.removeWorker(other)
+			s.removeWorker(other, now)
 		}
 	}
 	worker.Acked = 0
@@ -360,9 +362,9 @@
 }
 
 // removeWorker removes a worker whose process has ended, and all its runs.
-func (s *State) removeWorker(worker *Worker) {
+func (s *State) removeWorker(worker *Worker, now UnixMilli) {
 	for _, run := range s.placed[worker.ID] {
-		s.removeRun(run)
+		s.removeRun(run, now)
 	}
 	delete(s.workers, worker.ID)
 }
@@ -389,6 +391,7 @@
 			continue
 		}
 		s.footprint -= job.Request.Footprint()
+		s.chargeLiveRuns(job, -1, now)
 		delete(s.jobs, id)
 	}
 	for id, worker := range s.workers {
@@ -396,4 +399,5 @@
 			delete(s.workers, id)
 		}
 	}
+	s.retainShares()
 }
--- a/scheduler/catalog.go
+++ b/scheduler/catalog.go
@@ -43,6 +43,8 @@
 	// Open lets callers submit jobs without a key.
 	Open   bool    `json:"open"`
 	Advice *Advice `json:"advice,omitempty"`
+	// FairShare says that the queue's jobs take part in the sharing between teams.
+	FairShare bool `json:"fair-share,omitempty"`
 }
 
 // Pool is a group of workers.
@@ -64,6 +66,8 @@
 	// Guarantee is what the team's jobs of priority 0 are guaranteed. A resource
 	// left at 0 is not limited; if all are 0, there is no guarantee.
 	Guarantee Resources `json:"guarantee"`
+	// Weight divides the team's share where teams compete; nil means 1.
+	Weight *float64 `json:"weight,omitempty"`
 }
 
 // Catalog holds the operators' lists of queues, pools and teams. The catalog
@@ -85,6 +89,19 @@
 // ParseCatalog decodes and checks a catalog. Its error wraps ErrInvalidCatalog and
 // names the violated rule.
 func ParseCatalog(document []byte) (Catalog, error) {
+	catalog, err := restoreCatalog(document)
+	if err != nil {
+		return Catalog{}, err
+	}
+	if err := catalog.checkWeights(); err != nil {
+		return Catalog{}, fmt.Errorf("version %d: %v: %w", catalog.Version, err, ErrInvalidCatalog)
+	}
+	return catalog, nil
+}
+
+// restoreCatalog decodes a catalog that an earlier version, which did not check
+// weights, may have accepted. A weight out of range then counts as 1.
+func restoreCatalog(document []byte) (Catalog, error) {
 	var decoded catalogDocument
 	decoder := json.NewDecoder(bytes.NewReader(document))
 	if err := decoder.Decode(&decoded); err != nil {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -188,12 +188,13 @@
 	Stretch         float64  `json:"stretch"`
 	ObjectiveMillis int64    `json:"objective-ms"`
 	NeedsAdvice     bool     `json:"advised,omitempty"`
+	FairShare       bool     `json:"fair-share,omitempty"`
 }
 
 func (q *Queue) policy() QueuePolicy {
 	return QueuePolicy{
 		Pool: q.Pool, Priority: q.Priority, MaxAttempts: max(1, q.MaxAttempts),
-		Stretch: q.Stretch, ObjectiveMillis: q.ObjectiveMillis, NeedsAdvice: q.Advice != nil,
+		Stretch: q.Stretch, ObjectiveMillis: q.ObjectiveMillis, NeedsAdvice: q.Advice != nil, FairShare: q.FairShare,
 	}
 }
 
--- a/scheduler/pass.go
+++ b/scheduler/pass.go
@@ -200,6 +200,7 @@
 	need := Resources{}.Minus(u.step.Demand())
 	p.changeCapacity(c, need, need)
 	p.usage.charge(u.job, u.step, 1)
+	u.charge(1)
 	c.countRuns(u.step, u.id(), 1)
 	c.runs++
 	c.hasSuspect = c.hasSuspect || u.needsIsolation
@@ -210,6 +211,7 @@
 func (p *placementPass) unbook(c *candidate, u *unit) {
 	p.changeCapacity(c, u.step.Demand(), u.step.Demand())
 	p.usage.charge(u.job, u.step, -1)
+	u.charge(-1)
 	c.runs--
 	c.countRuns(u.step, u.id(), -1)
 }
@@ -230,10 +232,14 @@
 			return assign, nil
 		}
 		c := free.next(u.task(index))
+		if c == nil && u.isTurn {
+			return assign, nil
+		}
 		if c == nil {
 			return assign, p.placeByPreemption(u, u.tasks[placed:])
 		}
 		p.book(c, u)
+		u.placed++
 		assign.Runs = append(assign.Runs, p.newRun(u, index, c))
 	}
 	return assign, nil
--- a/scheduler/planner.go
+++ b/scheduler/planner.go
@@ -55,6 +55,10 @@
 // Planner decides which tasks run on which workers. It tracks how long each
 // step has waited. It is not safe for concurrent use.
 type Planner struct {
+	// FairShare says that the jobs of all queues take part in the sharing between
+	// teams. Otherwise only those of queues that ask for it do.
+	FairShare bool
+
 	waitingSince map[StepID]time.Time
 	// fruitless holds when runs to preempt for a step were last searched in vain, for
 	// searchPause.
@@ -99,6 +103,15 @@
 	// searchedInVain says that runs to preempt for the unit were searched a short
 	// time ago, and none were found.
 	searchedInVain bool
+	// contender is the team in the sharing; it is nil if the unit takes no part.
+	contender *contender
+	// position is the unit's place in the order within its interval.
+	position int
+	// isPart says that other tasks of the unit are placed separately in the same plan,
+	// and isTurn that more of them follow, so that the unit may not preempt yet.
+	isPart, isTurn bool
+	// placed counts the tasks that were placed into free capacity.
+	placed int
 }
 
 func (u *unit) id() StepID {
@@ -125,14 +138,14 @@
 	plan.Waiting = len(units)
 	units = pass.usage.rankGuaranteed(units)
 	pass.acceleratorReserve = p.updateReserve(s, units, pass, now)
-	for _, u := range units {
+	for u := range inTurns(units) {
 		if u.job.Policy.NeedsAdvice && !o.HasValidTicket(u.id(), now) {
 			plan.Advise = append(plan.Advise, u.id())
 			continue
 		}
 		assign, stops := pass.place(u)
 		if len(assign.Runs) > 0 {
-			plan.Assign = append(plan.Assign, assign)
+			plan.addAssign(u, assign)
 		}
 		plan.Stop = append(plan.Stop, stops...)
 	}
@@ -190,6 +203,7 @@
 	var units []*unit
 	maps.DeleteFunc(p.fruitless, func(_ StepID, at time.Time) bool { return now.Sub(at) >= searchPause })
 	waitingSince := map[StepID]time.Time{}
+	contest := contest{state: s, wall: wall, all: p.FairShare}
 	for _, job := range s.active {
 		for k := range job.Occurrences {
 			occurrence := &job.Occurrences[k]
@@ -209,6 +223,7 @@
 				u.waited = now.Sub(since)
 				_, u.searchedInVain = p.fruitless[u.id()]
 				u.setRank(wall)
+				u.contender = contest.contenderOf(job)
 				units = append(units, u)
 			}
 		}
@@ -219,9 +234,13 @@
 }
 
 func unitPrecedes(a, b *unit) bool {
-	switch {
-	case a.rank != b.rank:
+	if a.rank != b.rank {
 		return a.rank < b.rank
+	}
+	if order := compareShares(a, b); order != 0 {
+		return order < 0
+	}
+	switch {
 	case a.latestStart != b.latestStart:
 		return a.latestStart < b.latestStart
 	case a.job.ID != b.job.ID:
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -6,6 +6,7 @@
 	"sort"
 
 	"cranberrystack.dev/cranberrystack/identifier"
+	"cranberrystack.dev/cranberrystack/sharer"
 )
 
 // jobRetention is how long ended jobs are retained.
@@ -25,6 +26,8 @@
 	// prunedAt is when ended jobs were last pruned.
 	prunedAt UnixMilli
 	lease    leaderLease
+	// shares holds what the teams hold and have recently held. Apply never reads it.
+	shares *sharer.Sharer
 
 	// The fields below are derived from those above.
 
@@ -45,6 +48,7 @@
 		waves:   map[WaveID]*Wave{},
 
 		dataCenters: map[identifier.DataCenterID]DataCenterState{},
+		shares:      newSharer(),
 
 		active: map[identifier.JobID]*Job{},
 		placed: map[identifier.WorkerID]map[RunID]*Run{},
@@ -63,6 +67,8 @@
 	// PrunedAt is when ended jobs were last pruned.
 	PrunedAt UnixMilli   `json:"forgotten,omitempty"`
 	Lease    leaderLease `json:"lease,omitzero"`
+	// Shares is absent in snapshots of versions without shares of teams.
+	Shares json.RawMessage `json:"team-shares,omitempty"`
 }
 
 // Snapshot encodes the state.
@@ -80,6 +86,11 @@
 	for _, wave := range s.waves {
 		stored.Waves = append(stored.Waves, wave)
 	}
+	shares, err := json.Marshal(s.shares)
+	if err != nil {
+		return nil, fmt.Errorf("encode shares: %w", err)
+	}
+	stored.Shares = shares
 	sort.Slice(stored.Jobs, func(i, j int) bool { return stored.Jobs[i].ID < stored.Jobs[j].ID })
 	data, err := json.Marshal(stored)
 	if err != nil {
@@ -97,7 +108,7 @@
 	fresh := NewState()
 	fresh.prunedAt, fresh.lease = stored.PrunedAt, stored.Lease
 	if len(stored.Document) > 0 {
-		catalog, err := ParseCatalog(stored.Document)
+		catalog, err := restoreCatalog(stored.Document)
 		if err != nil {
 			return fmt.Errorf("restore the catalog: %w", err)
 		}
@@ -128,6 +139,7 @@
 	for _, state := range stored.DataCenters {
 		fresh.dataCenters[state.Name] = state
 	}
+	fresh.restoreShares(stored.Shares)
 	*s = *fresh
 	return nil
 }
@@ -282,7 +294,7 @@
 	runs[run.ID] = run
 }
 
-func (s *State) removeRun(run *Run) {
+func (s *State) removeRun(run *Run, now UnixMilli) {
 	delete(s.runs, run.ID)
 	delete(s.placed[run.Worker], run.ID)
 	if len(s.placed[run.Worker]) == 0 {
@@ -293,7 +305,8 @@
 		return
 	}
 	job.liveRuns--
-	if _, state, task := job.step(run.ID.Task); task != nil {
+	if step, state, task := job.step(run.ID.Task); task != nil {
+		s.chargeRuns(job, step, -1, now)
 		state.LiveRuns--
 		task.LiveRuns--
 	}
