coordinator, cranberryctl: show the shares of teams; node setting sharing

Cause: an operator could not see which team holds what and who waits. Change: the coordination metrics and cranberryctl top list for each team and pool what is held, the share, waiting tasks and the oldest wait, in the new field team-shares. The node's setting sharing (none, fair) makes the jobs of all queues take part. Ruled out: new fields in the entries of teams, which have one row per team and not per pool.

--- a/coordinator/explain.go
+++ b/coordinator/explain.go
@@ -83,7 +83,9 @@
 	Statistics scheduler.Statistics `json:"statistics"`
 	Queues     []QueueMetrics       `json:"queues"`
 	Teams      []teamView           `json:"teams"`
-	Workers    []workerView         `json:"workers"`
+	// TeamShares holds what the teams hold and wait for, by pool.
+	TeamShares []scheduler.TeamShare `json:"team-shares"`
+	Workers    []workerView          `json:"workers"`
 }
 
 func (c *Coordinator) overview() forwarder.Answer {
@@ -92,7 +94,7 @@
 	if c.lead == nil {
 		return c.notLeader()
 	}
-	body := overviewBody{Statistics: c.state.Statistics(), Queues: c.queueMetrics()}
+	body := overviewBody{Statistics: c.state.Statistics(), Queues: c.queueMetrics(), TeamShares: c.teamShares()}
 	for i := range c.state.Catalog().Teams {
 		team := &c.state.Catalog().Teams[i]
 		body.Teams = append(body.Teams, teamView{
--- a/coordinator/meter.go
+++ b/coordinator/meter.go
@@ -31,6 +31,8 @@
 	// on any instance but the leader.
 	UnresponsiveWorkers int `json:"silent-workers"`
 	DrainingWorkers     int `json:"draining-workers"`
+	// TeamShares holds what the teams hold and, on the leader, what they wait for.
+	TeamShares []scheduler.TeamShare `json:"team-shares,omitempty"`
 }
 
 // Metrics returns the current metrics.
@@ -42,6 +44,7 @@
 	metrics := Metrics{
 		Leader: status.Leader, Members: status.Members, HoldsLeaderLease: status.HoldsLeaderLease, Term: uint64(view.Term), Commit: view.Commit,
 		Statistics: c.state.Statistics(), Queues: c.queueMetrics(), WaitingProposals: len(c.queue),
+		TeamShares: c.teamShares(),
 	}
 	if !c.catalogSince.IsZero() {
 		metrics.CatalogAgeMillis = time.Since(c.catalogSince).Milliseconds()
--- a/coordinator/options.go
+++ b/coordinator/options.go
@@ -53,10 +53,12 @@
 	contactTimeout time.Duration
 	callTimeout    time.Duration
 	dutyLease      time.Duration
-	tick           time.Duration
-	idleTick       time.Duration
-	clock          func() time.Duration
-	logOptions     []replicator.Option
+	// fairShare says that the jobs of all queues take part in the sharing.
+	fairShare  bool
+	tick       time.Duration
+	idleTick   time.Duration
+	clock      func() time.Duration
+	logOptions []replicator.Option
 }
 
 // Option changes a setting of a coordinator.
--- a/cranberryctl/command/work.go
+++ b/cranberryctl/command/work.go
@@ -216,7 +216,8 @@
 		Guaranteed int64  `json:"guaranteed-accelerators"`
 		Used       int64  `json:"used-accelerators"`
 	} `json:"teams"`
-	Workers []struct {
+	TeamShares teamShares `json:"team-shares"`
+	Workers    []struct {
 		Worker         string `json:"worker"`
 		State          string `json:"state"`
 		Pool           string `json:"pool"`
@@ -255,6 +256,7 @@
 	for _, team := range top.Teams {
 		rows = append(rows, []string{team.Team, strconv.FormatInt(team.Guaranteed, 10), strconv.FormatInt(team.Used, 10)})
 	}
+	rows = append(rows, top.TeamShares.rows()...)
 	rows = append(rows, nil, []string{"WORKER", "STATE", "POOL", "RUNS", "HEARD MS AGO", "MISSES"})
 	for _, w := range top.Workers {
 		rows = append(rows, []string{w.Worker, w.State, w.Pool, strconv.Itoa(w.Runs), strconv.FormatInt(w.SinceContactMs, 10), strconv.Itoa(w.Misses)})
--- a/cranberryd/loader/node.go
+++ b/cranberryd/loader/node.go
@@ -21,6 +21,14 @@
 	RoleCoordination = "coordination"
 )
 
+// The values of the setting sharing.
+const (
+	// SharingNone leaves the sharing between teams to the queues of the catalog.
+	SharingNone = "none"
+	// SharingFair makes the jobs of all queues take part.
+	SharingFair = "fair"
+)
+
 // NodeListen holds the addresses that a node listens on in addition to Address.
 // Each belongs to one role.
 type NodeListen struct {
@@ -90,6 +98,9 @@
 	Descriptors int `json:"descriptors" validate:"min=0"`
 	// Advice is the address of the advice service; empty if there is none.
 	Advice string `json:"advice,omitempty"`
+	// Sharing says whether the jobs of all queues take part in the sharing between
+	// teams (fair), or only those of queues that ask for it (none).
+	Sharing string `json:"sharing" validate:"oneof=none fair"`
 	// MachineManager is the address of the machine manager; empty if there is
 	// none.
 	MachineManager string      `json:"machines,omitempty"`
@@ -189,5 +200,6 @@
 		Bounds:  NodeBounds{Grace: "6s", MaxLease: "6s", DutyLease: "3s"},
 		Control: NodeControl{HeartbeatInterval: "120ms", ElectionTimeout: "700ms", CompactEntries: 2000, ToleratedLosses: 1},
 		Log:     NodeLog{LinesPerSecond: 800},
+		Sharing: SharingNone,
 	}
 }
--- a/cranberryd/node/node_test.go
+++ b/cranberryd/node/node_test.go
@@ -106,7 +106,7 @@
 		}
 		for _, want := range []string{
 			`"rules":true`, `"catalog-age-ms"`, `"pending"`, `"events.job-accepted"`, `"events.office-taken"`, `"jobs.cancelled"`,
-			`"name":"job","member":"a","class":"q.cancelled","count":1`, `"name":"commit"`, `"name":"sync"`, `"log.lines-dropped": 7`,
+			`"name":"job","member":"a","class":"q.cancelled","count":1`, `"name":"commit"`, `"name":"sync"`, `"team-shares":[{"team":"a"`, `"log.lines-dropped": 7`,
 		} {
 			if !strings.Contains(vars.String(), want) {
 				t.Errorf("metrics do not contain %s: %s", want, vars.String())
@@ -139,6 +139,8 @@
 		{"no data folder", strings.Replace(valid, `"/d"`, `""`, 1), "data-folder"},
 		{"bad address", strings.Replace(valid, `"h:7000"`, `"h"`, 1), "address"},
 		{"unknown key", strings.Replace(valid, `"role"`, `"rolle"`, 1), "rolle"},
+		{"unknown sharing", strings.Replace(valid, `"bootstrap"`, `"sharing":"some","bootstrap"`, 1), "sharing"},
+		{"sharing", strings.Replace(valid, `"bootstrap"`, `"sharing":"fair","bootstrap"`, 1), ""},
 		{"bad time", strings.Replace(valid, `"bootstrap"`, `"bounds":{"grace":"6"},"bootstrap"`, 1), "grace"},
 	}
 	for _, test := range tests {
--- a/scheduler/shares_test.go
+++ b/scheduler/shares_test.go
@@ -279,18 +279,22 @@
 		// later is how much later than those of team a the jobs of team b are submitted.
 		later        time.Duration
 		wantA, wantB int64
+		// all stands for the node's setting, with a queue that does not ask for sharing.
+		all bool
 	}{
-		{"both floods are divided", 0, []Step{contestTasks(500)}, []Step{contestTasks(500)}, 0, 32, 32},
-		{"what is held counts", 16, []Step{contestTasks(500)}, []Step{contestTasks(500)}, 0, 32, 32},
-		{"a small request is served whole", 0, []Step{contestTasks(500)}, []Step{contestTasks(5)}, 400 * time.Millisecond, 59, 5},
-		{"nothing is left idle", 0, []Step{contestTasks(10)}, []Step{contestTasks(500)}, 0, 10, 54},
-		{"a wide gang does not block", 0, []Step{contestTasks(500)}, []Step{gang}, 0, 64, 0},
-		{"a wide gang does not block its own team", 0, []Step{contestTasks(500)}, []Step{gang, contestTasks(500)}, 0, 32, 32},
-		{"no order between intervals", 0, []Step{contestTasks(500)}, []Step{contestTasks(500)}, 2 * sharingInterval.duration(), 64, 0},
+		{"both floods are divided", 0, []Step{contestTasks(500)}, []Step{contestTasks(500)}, 0, 32, 32, false},
+		{"what is held counts", 16, []Step{contestTasks(500)}, []Step{contestTasks(500)}, 0, 32, 32, false},
+		{"a small request is served whole", 0, []Step{contestTasks(500)}, []Step{contestTasks(5)}, 400 * time.Millisecond, 59, 5, false},
+		{"nothing is left idle", 0, []Step{contestTasks(10)}, []Step{contestTasks(500)}, 0, 10, 54, false},
+		{"a wide gang does not block", 0, []Step{contestTasks(500)}, []Step{gang}, 0, 64, 0, false},
+		{"a wide gang does not block its own team", 0, []Step{contestTasks(500)}, []Step{gang, contestTasks(500)}, 0, 32, 32, false},
+		{"no order between intervals", 0, []Step{contestTasks(500)}, []Step{contestTasks(500)}, 2 * sharingInterval.duration(), 64, 0, false},
+		{"the setting has no effect", 0, []Step{contestTasks(500)}, []Step{contestTasks(500)}, 0, 32, 32, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			p := newContestPool(t, true, "a", "b")
+			p := newContestPool(t, !test.all, "a", "b")
+			p.planner.FairShare = test.all
 			p.now = time.UnixMilli(p.now.UnixMilli() / 1000 * 1000)
 			if test.held > 0 {
 				p.request("a", contestTasks(test.held))
