--- a/coordinator/teams_test.go
+++ b/coordinator/teams_test.go
@@ -55,7 +55,7 @@
 		setup := func(c *cluster) { c.fairShare = fair }
 		inClusterWith(t, 301, 4, 1, setup, func(c *cluster) {
 			c.submit("urgent", jobID(1), scheduler.Request{Spec: "s", Steps: []scheduler.Step{step(1, 2000, 8)}})
-			time.Sleep(time.Until(time.Now().Truncate(500*time.Millisecond).Add(time.Second + time.Millisecond)))
+			time.Sleep(time.Until(time.Now().Truncate(500 * time.Millisecond).Add(time.Second + time.Millisecond)))
 			request := scheduler.Request{Spec: "s", Steps: []scheduler.Step{step(20, 60000, 1)}}
 			c.submit("long", jobID(2), request)
 			call := c.submitCall("long", jobID(3), request)
--- a/scheduler/contest.go
+++ b/scheduler/contest.go
@@ -15,7 +15,7 @@
 	// is overtaken because of them.
 	sharingInterval = UnixMilli(500)
 	// turnsPerPool is the number of turns in which a team would be given a whole pool.
-	// Each turn rates the workers anew, so that a pass has at most about so many more
+	// Each turn rates the workers anew, so that a pass has at most twice as many more
 	// ratings per pool.
 	turnsPerPool = 32
 )
--- a/scheduler/state_test.go
+++ b/scheduler/state_test.go
@@ -27,6 +27,12 @@
 		{"same address", `{"version":1,"pools":[{"name":"p"}],"queues":[
 			{"name":"q","host":"h","path-prefix":"/a/","worker-pool":"p","timeout-ms":1},
 			{"name":"r","host":"H","path-prefix":"/a/","worker-pool":"p","timeout-ms":1}]}`, true},
+		{"weight", `{"version":1,"queues":[],"pools":[],"teams":[{"name":"a","weight":2.5},{"name":"b"}]}`, false},
+		{"weight 0", `{"version":1,"queues":[],"pools":[],"teams":[{"name":"a","weight":0}]}`, true},
+		{"negative weight", `{"version":1,"queues":[],"pools":[],"teams":[{"name":"a","weight":-1}]}`, true},
+		{"infinite weight", `{"version":1,"queues":[],"pools":[],"teams":[{"name":"a","weight":1e400}]}`, true},
+		{"absurdly large weight", `{"version":1,"queues":[],"pools":[],"teams":[{"name":"a","weight":1e9}]}`, true},
+		{"absurdly small weight", `{"version":1,"queues":[],"pools":[],"teams":[{"name":"a","weight":1e-300}]}`, true},
 		{"shared key", `{"version":1,"queues":[],"pools":[],"teams":[{"name":"a","keys":["k"]},{"name":"b","keys":["k"]}]}`, true},
 	}
 	for _, test := range tests {
