--- a/scheduler/shares_test.go
+++ b/scheduler/shares_test.go
@@ -19,6 +19,8 @@
 type contestPool struct {
 	*testPool
 	nextID int
+	// pool is that of the queue; there are workers only in pool p.
+	pool PoolName
 	// offset is added to the time of day, but not to the monotonic time.
 	offset UnixMilli
 	// ends holds when each live run ends.
@@ -36,7 +38,7 @@
 // holds the teams' entries in the catalog, after their names.
 func newContestPool(t *testing.T, fair bool, teams ...string) *contestPool {
 	p := &contestPool{
-		testPool: newPool(t, 8), ends: map[RunID]time.Time{}, submitted: map[identifier.JobID]time.Time{},
+		testPool: newPool(t, 8), pool: "p", ends: map[RunID]time.Time{}, submitted: map[identifier.JobID]time.Time{},
 		waits: map[identifier.TeamID][]time.Duration{}, random: rand.New(rand.NewPCG(7, 1)),
 	}
 	p.configure(2, fair, teams...)
@@ -50,8 +52,8 @@
 		entries[i] = fmt.Sprintf(`{"name":%q,"keys":[%q]%s}`, name, name, rest)
 	}
 	p.submitBatch(Command{Configure: &Configure{Document: fmt.Appendf(nil, `{"version":%d,"queues":[
-{"name":"long","host":"h","path-prefix":"/l/","worker-pool":"p","priority":2,"max-attempts":2,"stretch":3,"objective-ms":1000,"timeout-ms":1,"fair-share":%t}],
-"pools":[{"name":"p","guards-capacity":true}],"teams":[%s]}`, version, fair, strings.Join(entries, ","))}})
+{"name":"long","host":"h","path-prefix":"/l/","worker-pool":%q,"priority":2,"max-attempts":2,"stretch":3,"objective-ms":1000,"timeout-ms":1,"fair-share":%t}],
+"pools":[{"name":"p","guards-capacity":true},{"name":"q"}],"teams":[%s]}`, version, p.pool, fair, strings.Join(entries, ","))}})
 }
 
 func (p *contestPool) submitBatch(command Command) {
@@ -450,6 +452,7 @@
 			return
 		}
 	case 3:
+		p.pool = []PoolName{"p", "q"}[random.IntN(2)]
 		p.configure(10+i, true, []string{"a", "b"}[random.IntN(2)])
 	}
 }
