scheduler: signatures of what an emptied data centre holds

Cause: the coordinator asks before each start, and operators see what is left in an emptied data centre and which guarantees still fit. Change: InEmptiedDataCenter, DataCenterUse, GuaranteesKept and CauseEmptied; the planner does not use them yet.

--- a/scheduler/datacenter.go
+++ b/scheduler/datacenter.go
@@ -63,3 +63,72 @@
 	slices.SortFunc(all, func(a, b DataCenterState) int { return strings.Compare(string(a.Name), string(b.Name)) })
 	return all
 }
+
+// InEmptiedDataCenter reports whether a worker is in a data centre that is emptied.
+// Such a worker gets no starts.
+func (s *State) InEmptiedDataCenter(worker *Worker) bool {
+	return len(s.dataCenters) > 0 && s.dataCenters[worker.DataCenter].Emptied
+}
+
+// DataCenterUse holds counts of what is in a data centre.
+type DataCenterUse struct {
+	// Workers counts the registered workers that have not left.
+	Workers int `json:"workers"`
+	// Runs counts the runs that may be alive, and LongRunning the long-running ones
+	// among them.
+	Runs        int `json:"runs"`
+	LongRunning int `json:"long-running"`
+	// WaitingForRoom counts the checkpointing or long-running runs of an emptied data
+	// centre. It is 0 for one that is in use.
+	WaitingForRoom int `json:"waiting-for-room"`
+}
+
+// DataCenterUse returns counts of what is in a data centre.
+func (s *State) DataCenterUse(name identifier.DataCenterID) DataCenterUse {
+	var use DataCenterUse
+	emptied := s.DataCenter(name).Emptied
+	for id, worker := range s.workers {
+		if worker.DataCenter != name {
+			continue
+		}
+		if worker.State != WorkerLeft {
+			use.Workers++
+		}
+		for run := range s.placed[id] {
+			use.Runs++
+			step := s.StepOf(run.Task)
+			if step == nil {
+				continue
+			}
+			if step.LongRunning {
+				use.LongRunning++
+			}
+			if emptied && (step.LongRunning || step.Checkpoints) {
+				use.WaitingForRoom++
+			}
+		}
+	}
+	return use
+}
+
+// GuaranteesKept returns for each team whether its guarantee fits into the capacity
+// of the ready workers outside emptied data centres, beside the guarantees of the
+// teams before it in the catalog. A guarantee that does not fit takes none of it.
+func (s *State) GuaranteesKept() map[identifier.TeamID]bool {
+	var left Resources
+	for _, worker := range s.workers {
+		if worker.State == WorkerReady && !s.InEmptiedDataCenter(worker) {
+			left = left.Plus(worker.Capacity)
+		}
+	}
+	kept := make(map[identifier.TeamID]bool, len(s.catalog.Teams))
+	for i := range s.catalog.Teams {
+		team := &s.catalog.Teams[i]
+		fits := team.Guarantee.Fits(left)
+		if fits {
+			left = left.Minus(team.Guarantee)
+		}
+		kept[team.Name] = fits
+	}
+	return kept
+}
--- a/scheduler/planner.go
+++ b/scheduler/planner.go
@@ -35,6 +35,9 @@
 	CauseStalled        Cause = "stands-still"
 	CausePreempted      Cause = "preempted"
 	CauseUpkeep         Cause = "upkeep"
+	// CauseEmptied says that the data centre of the run is emptied, and another one
+	// had room for it.
+	CauseEmptied Cause = "emptied"
 	// CauseUnanswered says that the start of the run was not answered and it must
 	// not start later.
 	CauseUnanswered Cause = "unanswered"
