scheduler: move runs out of emptied data centres and ramp up returned ones

Cause: an order to empty a data centre had no effect on the planner. Change: workers of an emptied data centre are no candidates, so that placement, advice, the reserve, preemption and copies disregard them. Checkpointing runs that need more than 5 s and long-running runs are stopped with cause emptied once the pass finds free room elsewhere for them, for gangs for all members. The room is booked again in every pass until the runs have ended, at their place in the order of waiting work. After a return, a growing share of the workers gets uncovered work. Ruled out: moves before all waiting work, which take room from urgent work; moves after all of it, which find no room in a full pool.

--- a/scheduler/datacenter.go
+++ b/scheduler/datacenter.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"hash/fnv"
 	"slices"
 	"strings"
 
@@ -70,6 +71,35 @@
 	return len(s.dataCenters) > 0 && s.dataCenters[worker.DataCenter].Emptied
 }
 
+// anyEmptied reports whether any data centre is emptied.
+func (s *State) anyEmptied() bool {
+	for _, state := range s.dataCenters {
+		if state.Emptied {
+			return true
+		}
+	}
+	return false
+}
+
+// rampMillis is the time after the return of a data centre over which its workers
+// ramp up.
+const rampMillis = 2000
+
+// rampsUp reports whether a worker's data centre was returned to use so short a time
+// ago that the worker still gets only runs that a guarantee covers. The workers
+// follow each other in the order of a hash of their ids. A time before the return
+// is the sign of a changed clock: nothing ramps up then.
+func (s *State) rampsUp(worker *Worker, wall UnixMilli) bool {
+	state, known := s.dataCenters[worker.DataCenter]
+	elapsed := wall - state.Since
+	if !known || state.Emptied || elapsed < 0 || elapsed >= rampMillis {
+		return false
+	}
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(worker.ID))
+	return UnixMilli(hash.Sum32()%rampMillis) >= elapsed
+}
+
 // DataCenterUse holds counts of what is in a data centre.
 type DataCenterUse struct {
 	// Workers counts the registered workers that have not left.
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -92,7 +92,7 @@
 	for _, rack := range p.racks {
 		room := 0
 		for _, c := range rack {
-			if p.eligible(u, c) {
+			if p.suits(u, c) {
 				room += tasksThatFit(u.step, c.worker.Capacity)
 			}
 		}
--- a/scheduler/pass.go
+++ b/scheduler/pass.go
@@ -42,6 +42,9 @@
 	recentFailures int
 	// quiet says that the worker has not been in contact for a while.
 	quiet bool
+	// rampsUp says that the worker's data centre was returned to use a short time ago,
+	// so that it gets only runs that a guarantee covers.
+	rampsUp bool
 }
 
 // placementPass is one pass over the waiting work: the candidate workers and
@@ -92,13 +95,13 @@
 		byWorker: map[identifier.WorkerID]*candidate{}, stopped: map[*Run]bool{}, usage: newTeamUsage(s, o),
 	}
 	for _, worker := range s.Workers() {
-		if !o.Schedulable(worker, now) || !o.KnowsCapacity(s, worker, now) {
+		if s.InEmptiedDataCenter(worker) || !o.Schedulable(worker, now) || !o.KnowsCapacity(s, worker, now) {
 			continue
 		}
 		c := &candidate{
 			worker: worker, rack: worker.Rack(), free: worker.Capacity, afterStops: worker.Capacity,
 			likelyFaulty: o.LikelyFaulty(worker.ID, now), recentFailures: o.observations[worker.ID].recentFailures(now), position: len(p.candidates),
-			quiet: o.observations[worker.ID].quiet(now),
+			quiet: o.observations[worker.ID].quiet(now), rampsUp: s.rampsUp(worker, wall),
 		}
 		for id, run := range s.placed[worker.ID] {
 			c.addRun(s, o, id, run, wall)
@@ -269,9 +272,15 @@
 	return run
 }
 
-// eligible reports whether a unit's tasks may run on a candidate, regardless
-// of its free capacity.
+// eligible reports whether a unit's tasks may be placed on a candidate now,
+// regardless of its free capacity.
 func (p *placementPass) eligible(u *unit, c *candidate) bool {
+	return (!c.rampsUp || u.guaranteed) && p.suits(u, c)
+}
+
+// suits reports whether a unit's tasks may run on a candidate, regardless of its
+// free capacity and of whether it ramps up.
+func (p *placementPass) suits(u *unit, c *candidate) bool {
 	step := u.step
 	switch {
 	case c.worker.Pool != u.job.Policy.Pool:
--- a/scheduler/planner.go
+++ b/scheduler/planner.go
@@ -67,11 +67,13 @@
 	// peakUpdated.
 	peak        float64
 	peakUpdated time.Time
+	// mover moves runs out of emptied data centres.
+	mover mover
 }
 
 // NewPlanner returns a planner.
 func NewPlanner() *Planner {
-	return &Planner{waitingSince: map[StepID]time.Time{}, fruitless: map[StepID]time.Time{}}
+	return &Planner{waitingSince: map[StepID]time.Time{}, fruitless: map[StepID]time.Time{}, mover: newMover()}
 }
 
 // unit is what is placed together: a gang, or the waiting tasks of a step.
@@ -102,6 +104,11 @@
 	// searchedInVain says that runs to preempt for the unit were searched a short
 	// time ago, and none were found.
 	searchedInVain bool
+	// moving holds the runs that are to leave an emptied data centre, in the order of
+	// tasks; for a gang its live members. It is empty for waiting tasks. stopOrdered
+	// says that an earlier pass ordered them to stop.
+	moving      []*Run
+	stopOrdered bool
 }
 
 func (u *unit) id() StepID {
@@ -128,11 +135,16 @@
 	plan.Waiting = len(units)
 	units = pass.usage.rankGuaranteed(units)
 	pass.acceleratorReserve = p.updateReserve(s, units, pass, now)
+	units = p.mover.addUnits(units, pass)
 	for _, u := range units {
 		if u.job.Policy.NeedsAdvice && !o.HasValidTicket(u.id(), now) {
 			plan.Advise = append(plan.Advise, u.id())
 			continue
 		}
+		if len(u.moving) > 0 {
+			plan.Stop = append(plan.Stop, p.mover.move(pass, u)...)
+			continue
+		}
 		assign, stops := pass.place(u)
 		if len(assign.Runs) > 0 {
 			plan.Assign = append(plan.Assign, assign)
