--- a/scheduler/mover.go
+++ b/scheduler/mover.go
@@ -40,6 +40,7 @@
 // take the room for which these were stopped.
 func (m *mover) addUnits(units []*unit, p *placementPass) []*unit {
 	if len(m.ordered)+len(m.freed) == 0 && !p.state.anyEmptied() {
+		clear(m.tried)
 		return units
 	}
 	ordered := m.orderedUnits(p)
@@ -204,27 +205,28 @@
 	return sorted
 }
 
-// canLeave reports whether a run should be moved and its worker can be told to stop
-// it.
-func (p *placementPass) canLeave(step *Step, run *Run) bool {
+// canStop reports whether a run is not being stopped and its worker responds.
+func (p *placementPass) canStop(run *Run) bool {
 	observation := p.observer.Observation(run.Worker)
-	if observation == nil || observation.MissedPolls > 0 || observation.isStopping(run) || p.stopped[run] {
-		return false
-	}
-	return step.LongRunning || remainingMillis(step, run, p.observer, p.wall) > minMovedMillis
+	return observation != nil && observation.MissedPolls == 0 && !observation.isStopping(run) && !p.stopped[run]
+}
+
+// canLeave reports whether a run should be moved.
+func (p *placementPass) canLeave(step *Step, run *Run) bool {
+	return p.canStop(run) && (step.LongRunning || remainingMillis(step, run, p.observer, p.wall) > minMovedMillis)
 }
 
-// gangCanLeave reports whether a gang is whole and should be moved. It ends with its
-// slowest member.
+// gangCanLeave reports whether a gang should be moved. It ends with its slowest
+// member.
 func (p *placementPass) gangCanLeave(u *unit) bool {
 	longest := int64(0)
 	for _, run := range u.moving {
-		if observation := p.observer.Observation(run.Worker); observation == nil || observation.MissedPolls > 0 || observation.isStopping(run) || p.stopped[run] {
+		if !p.canStop(run) {
 			return false
 		}
 		longest = max(longest, remainingMillis(u.step, run, p.observer, p.wall))
 	}
-	return len(u.moving) == u.step.Width && (u.step.LongRunning || longest > minMovedMillis)
+	return u.step.LongRunning || longest > minMovedMillis
 }
 
 // move books free room for the runs of a unit and returns the stops of those that
@@ -301,6 +303,18 @@
 	call()
 }
 
+// hasRoom reports whether a task of a unit fits on any candidate, whatever advice
+// allows.
+func (p *placementPass) hasRoom(u *unit) bool {
+	need := u.step.Demand()
+	for c := range p.indexes[capacityFree].withAccelerators(need.Accelerators) {
+		if c.worker.Pool == u.job.Policy.Pool && need.Fits(c.free) {
+			return true
+		}
+	}
+	return false
+}
+
 // mayMove reports whether a run, or its gang of the given number of tasks, may be
 // stopped if there is room for it. Work that other work may preempt must leave the
 // accelerator reserve free, even if it checkpoints, and stays while urgent work
--- a/scheduler/planner.go
+++ b/scheduler/planner.go
@@ -138,7 +138,9 @@
 	units = p.mover.addUnits(units, pass)
 	for _, u := range units {
 		if u.job.Policy.NeedsAdvice && !o.HasValidTicket(u.id(), now) {
-			plan.Advise = append(plan.Advise, u.id())
+			if len(u.moving) == 0 || pass.hasRoom(u) {
+				plan.Advise = append(plan.Advise, u.id())
+			}
 			continue
 		}
 		if len(u.moving) > 0 {
