--- a/scheduler/mover.go
+++ b/scheduler/mover.go
@@ -34,10 +34,10 @@
 }
 
 // addUnits adds to the waiting units those of the runs that are to be moved, each at
-// its place in the order. More urgent work so takes free room before them, and
+// its place in the order, so that more urgent work takes free room before them and
 // less urgent work does not take the room that their tasks are going to need. Runs
-// that are not yet stopped come after the tasks of those that are, or they would
-// take the room for which these were stopped.
+// that are not yet stopped come after the tasks of those that are, since they would
+// otherwise take the room for which these were stopped.
 func (m *mover) addUnits(units []*unit, p *placementPass) []*unit {
 	if len(m.ordered)+len(m.freed) == 0 && !p.state.anyEmptied() {
 		clear(m.tried)
@@ -156,8 +156,8 @@
 }
 
 // movingUnit returns the unit of a run's step, which it adds to units if it is not
-// there. The unit of a gang has all its tasks and live members; any other one is
-// empty. It returns nil for a step whose tasks are not moved.
+// there. The unit of a gang has all its live members; any other one has no runs yet.
+// It returns nil for a step whose tasks are not moved.
 func (p *placementPass) movingUnit(units map[StepID]*unit, run *Run) *unit {
 	id := run.ID.Task.StepID()
 	if u, known := units[id]; known {
