--- a/scheduler/shares_test.go
+++ b/scheduler/shares_test.go
@@ -456,3 +456,20 @@
 		p.configure(10+i, true, []string{"a", "b"}[random.IntN(2)])
 	}
 }
+
+// Guards against a team with a smaller share that takes the room for which the runs of
+// another were stopped in an emptied data centre.
+func TestStoppedRunsKeepTheirRoomFromSmallerShares(t *testing.T) {
+	p := newTwoCentrePool(t, 1, 1)
+	p.planner.FairShare = true
+	job := p.fill(1, "plan", "a", with(tasks(8, 1), checkpointing))
+	p.order("a", true)
+	plan, moved := p.planStopping()
+	p.endStopped(plan)
+	p.submitFor("b", 2, "plan", p.state.Job(job).Request.Steps...)
+	p.state.Job("0000000000000002").Occurrences[0].Due = p.state.Job(job).Occurrences[0].Due
+	p.plan()
+	if here := p.runsIn(job, "b"); moved != 8 || here != 8 {
+		t.Errorf("%d runs were stopped to be moved and %d placed, want 8 and 8", moved, here)
+	}
+}
