coordinator: orders that empty and return data centres

Cause: operators have to take a data centre out of use without a change of the catalog, and the state knows the order but no call carries it. Change: the calls empty-data-center, return-data-center and data-centers; a start to a worker of an emptied data centre is withheld before each attempt, and its run is dropped or stopped as one that was given up; metrics per data centre and of guarantees that no longer fit; overview says whether a guarantee is kept. Every order is committed, also one that is already in effect. Ruled out: an answer from the state under the leader lease, which depends on clocks, and a round of the quorum beforehand, which costs about as much as the entry.

--- a/coordinator/calls.go
+++ b/coordinator/calls.go
@@ -63,6 +63,12 @@
 		return c.explain(call)
 	case forwarder.KindOverview:
 		return c.overview()
+	case forwarder.KindEmptyDataCenter:
+		return c.orderDataCenter(ctx, call, true)
+	case forwarder.KindReturnDataCenter:
+		return c.orderDataCenter(ctx, call, false)
+	case forwarder.KindDataCenters:
+		return c.listDataCenters()
 	}
 	return problemAnswer(responder.CodeInvalid, "unknown kind of call")
 }
--- a/coordinator/explain.go
+++ b/coordinator/explain.go
@@ -77,6 +77,9 @@
 	Team       identifier.TeamID `json:"team"`
 	Guaranteed int64             `json:"guaranteed-accelerators"`
 	Used       int64             `json:"used-accelerators"`
+	// Kept says that the guarantee fits beside those of the teams before it in the
+	// catalog, in the data centres that are not emptied.
+	Kept bool `json:"guarantee-kept"`
 }
 
 type overviewBody struct {
@@ -93,10 +96,12 @@
 		return c.notLeader()
 	}
 	body := overviewBody{Statistics: c.state.Statistics(), Queues: c.queueMetrics()}
+	kept := c.state.GuaranteesKept()
 	for i := range c.state.Catalog().Teams {
 		team := &c.state.Catalog().Teams[i]
 		body.Teams = append(body.Teams, teamView{
 			Team: team.Name, Guaranteed: team.Guarantee.Accelerators, Used: c.state.Used(team.Name).Accelerators,
+			Kept: kept[team.Name],
 		})
 	}
 	for _, worker := range c.state.Workers() {
--- a/coordinator/meter.go
+++ b/coordinator/meter.go
@@ -31,6 +31,11 @@
 	// on any instance but the leader.
 	UnresponsiveWorkers int `json:"silent-workers"`
 	DrainingWorkers     int `json:"draining-workers"`
+	// DataCenters holds all data centres that are known here.
+	DataCenters []DataCenterView `json:"data-centers"`
+	// UnkeptGuarantees holds the teams whose guarantee does not fit into the capacity
+	// that is left.
+	UnkeptGuarantees []identifier.TeamID `json:"unkept-guarantees,omitempty"`
 }
 
 // Metrics returns the current metrics.
@@ -42,6 +47,7 @@
 	metrics := Metrics{
 		Leader: status.Leader, Members: status.Members, HoldsLeaderLease: status.HoldsLeaderLease, Term: uint64(view.Term), Commit: view.Commit,
 		Statistics: c.state.Statistics(), Queues: c.queueMetrics(), WaitingProposals: len(c.queue),
+		DataCenters: c.dataCenterViews(), UnkeptGuarantees: c.unkeptGuarantees(),
 	}
 	if !c.catalogSince.IsZero() {
 		metrics.CatalogAgeMillis = time.Since(c.catalogSince).Milliseconds()
--- a/coordinator/options.go
+++ b/coordinator/options.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cranberrystack.dev/cranberrystack/identifier"
 	"cranberrystack.dev/cranberrystack/replicator"
 )
 
@@ -56,6 +57,7 @@
 	tick           time.Duration
 	idleTick       time.Duration
 	clock          func() time.Duration
+	dataCenters    []identifier.DataCenterID
 	logOptions     []replicator.Option
 }
 
@@ -106,6 +108,12 @@
 	return func(o *options) { o.clock = clock }
 }
 
+// DataCenters names data centres that operators may empty although no worker has
+// registered there yet.
+func DataCenters(names ...identifier.DataCenterID) Option {
+	return func(o *options) { o.dataCenters = names }
+}
+
 // LogOptions sets options of the replicated log.
 func LogOptions(opts ...replicator.Option) Option {
 	return func(o *options) { o.logOptions = opts }
--- a/coordinator/starter.go
+++ b/coordinator/starter.go
@@ -82,8 +82,8 @@
 	if observation.Incarnation != run.Incarnation {
 		return StartOrder{}, false
 	}
-	if worker := c.state.Worker(run.Worker); worker == nil || c.state.Overcommitted(worker) || !lead.observer.KnowsCapacity(c.state, worker, now) {
-		c.runEvent("start-withheld", run.ID, run.Worker, "", "reason", "capacity has shrunk or is unknown")
+	if reason := c.withholdReason(lead, c.state.Worker(run.Worker), now); reason != "" {
+		c.runEvent("start-withheld", run.ID, run.Worker, "", "reason", reason)
 		return StartOrder{}, false
 	}
 	deadline := observation.RenewLease(c.options.startLease, now)
@@ -94,6 +94,18 @@
 	}, true
 }
 
+// withholdReason returns why no start may be sent to a worker, or "" if it may. The
+// worker may be nil. The caller holds mu.
+func (c *Coordinator) withholdReason(lead *leadership, worker *scheduler.Worker, now time.Time) string {
+	switch {
+	case worker == nil || c.state.Overcommitted(worker) || !lead.observer.KnowsCapacity(c.state, worker, now):
+		return "capacity has shrunk or is unknown"
+	case c.state.InEmptiedDataCenter(worker):
+		return "data centre is emptied"
+	}
+	return ""
+}
+
 func (c *Coordinator) handleUnansweredStart(lead *leadership, run scheduler.Run, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
