cranberryd: name the data centres in the settings of a node

Cause: an operator may have to empty a data centre in which no worker is registered. Change: the setting data-centers, filled from the platform's table, is passed to the coordinator; a change needs a restart. Result: go test ./cranberryd/node passes.

--- a/cranberryd/loader/node.go
+++ b/cranberryd/loader/node.go
@@ -69,6 +69,9 @@
 	Role       string                  `json:"role" validate:"oneof=gateway coordination"`
 	DataCenter identifier.DataCenterID `json:"data-center" validate:"required"`
 	Region     identifier.RegionID     `json:"region"`
+	// DataCenters names the data centres of the system. Operators may empty them also
+	// before a worker has registered there.
+	DataCenters []identifier.DataCenterID `json:"data-centers,omitempty" validate:"dive,required"`
 	// Address is where this node serves other instances.
 	Address string `json:"address" validate:"required,hostname_port"`
 	// Seeds are addresses of instances with the coordination role. Only their
--- a/cranberryd/node/coordination.go
+++ b/cranberryd/node/coordination.go
@@ -69,6 +69,7 @@
 		coordinator.MaxLease(settings.Bounds.MaxLease.Std()),
 		coordinator.HeldPolls(p.idleConnections(purposePolls)),
 		coordinator.JobMemory(jobMemory(settings)),
+		coordinator.DataCenters(settings.DataCenters...),
 		coordinator.DutyLease(settings.Bounds.DutyLease.Std()),
 		coordinator.Clock(p.deps.Clock),
 		coordinator.LogOptions(
--- a/cranberryd/node/node_test.go
+++ b/cranberryd/node/node_test.go
@@ -21,7 +21,7 @@
 	"cranberrystack.dev/cranberrystack/responder"
 )
 
-const nodeSettings = `{"instance":"%s","role":"%s","data-center":"dc","address":"%s:7000","seeds":["core-1:1","core-2:1","core-3:1"],
+const nodeSettings = `{"instance":"%s","role":"%s","data-center":"dc","data-centers":["z0"],"address":"%s:7000","seeds":["core-1:1","core-2:1","core-3:1"],
 "listen":{%s},"metrics":"%s:9464","bootstrap":true,"data-folder":"%s"}`
 
 func startNode(t *testing.T, network *faker.Network, name, role, listen string) *node.Node {
@@ -95,6 +95,9 @@
 			t.Errorf("state of the queue is %s, want 1 pending job", got)
 		}
 		callNode("edge-1", forwarder.Call{Kind: forwarder.KindCancel, Path: submit.Path}, forwarder.CodeOK)
+		callNode("edge-1", forwarder.Call{Kind: forwarder.KindEmptyDataCenter, DataCenter: "z0"}, forwarder.CodeOK)
+		callNode("edge-1", forwarder.Call{Kind: forwarder.KindEmptyDataCenter, DataCenter: "z2"}, responder.CodeNotFound)
+		time.Sleep(time.Second)
 		var vars strings.Builder
 		for _, name := range []string{"core-1", "core-2", "core-3"} {
 			response, err := client.Get("http://" + name + ":9464/debug/vars")
@@ -105,7 +108,7 @@
 			_ = response.Body.Close()
 		}
 		for _, want := range []string{
-			`"rules":true`, `"catalog-age-ms"`, `"pending"`, `"events.job-accepted"`, `"events.office-taken"`, `"jobs.cancelled"`,
+			`"rules":true`, `"catalog-age-ms"`, `"pending"`,  `"events.job-accepted"`, `"events.data-center-emptied"`, `"name":"z0","emptied":true,"version":1`, `"events.office-taken"`, `"jobs.cancelled"`,
 			`"name":"job","member":"a","class":"q.cancelled","count":1`, `"name":"commit"`, `"name":"sync"`, `"log.lines-dropped": 7`,
 		} {
 			if !strings.Contains(vars.String(), want) {
@@ -139,6 +142,7 @@
 		{"no data folder", strings.Replace(valid, `"/d"`, `""`, 1), "data-folder"},
 		{"bad address", strings.Replace(valid, `"h:7000"`, `"h"`, 1), "address"},
 		{"unknown key", strings.Replace(valid, `"role"`, `"rolle"`, 1), "rolle"},
+		{"data centre without a name", strings.Replace(valid, `["z0"]`, `["z0",""]`, 1), "data-centers"},
 		{"bad time", strings.Replace(valid, `"bootstrap"`, `"bounds":{"grace":"6"},"bootstrap"`, 1), "grace"},
 	}
 	for _, test := range tests {
@@ -161,6 +165,7 @@
 		{"bootstrap", `"bootstrap":true`, `"bootstrap":false`, "", ""},
 		{"address", `"h:7000"`, `"h:7001"`, "", "address"},
 		{"metrics and advice addresses", `"metrics":"h:9464"`, `"advice":"a:1"`, "", "advice,metrics"},
+		{"data centres", `["z0"]`, `["z0","z1"]`, "", "data-centers"},
 		{"replicated log", `"bootstrap"`, `"control":{"tolerated-losses":2},"bootstrap"`, "", "control"},
 	}
 	for _, test := range tests {
