--- a/cranberryctl/command/work.go
+++ b/cranberryctl/command/work.go
@@ -23,7 +23,7 @@
 // newStepJobs returns the commands for jobs with steps.
 func newStepJobs(s *session) []*cobra.Command {
 	return []*cobra.Command{
-		newStepJobSubmit(s), newStepJobWatch(s), newStepJobCancel(s), newExplain(s), newTop(s), newCatalog(s),
+		newStepJobSubmit(s), newStepJobWatch(s), newStepJobCancel(s), newExplain(s), newTop(s), newCatalog(s), newDataCenter(s),
 	}
 }
 
@@ -215,6 +215,7 @@
 		Team       string `json:"team"`
 		Guaranteed int64  `json:"guaranteed-accelerators"`
 		Used       int64  `json:"used-accelerators"`
+		Kept       bool   `json:"guarantee-kept"`
 	} `json:"teams"`
 	Workers []struct {
 		Worker         string `json:"worker"`
@@ -251,9 +252,9 @@
 	for _, queue := range top.Queues {
 		rows = append(rows, []string{queue.Queue, strconv.Itoa(queue.Pending)})
 	}
-	rows = append(rows, nil, []string{"TEAM", "GUARANTEED", "USED"})
+	rows = append(rows, nil, []string{"TEAM", "GUARANTEED", "USED", "KEPT"})
 	for _, team := range top.Teams {
-		rows = append(rows, []string{team.Team, strconv.FormatInt(team.Guaranteed, 10), strconv.FormatInt(team.Used, 10)})
+		rows = append(rows, []string{team.Team, strconv.FormatInt(team.Guaranteed, 10), strconv.FormatInt(team.Used, 10), yesNo(team.Kept)})
 	}
 	rows = append(rows, nil, []string{"WORKER", "STATE", "POOL", "RUNS", "HEARD MS AGO", "MISSES"})
 	for _, w := range top.Workers {
@@ -262,6 +263,13 @@
 	return s.printTable(rows)
 }
 
+func yesNo(value bool) string {
+	if value {
+		return "yes"
+	}
+	return "no"
+}
+
 func newCatalog(s *session) *cobra.Command {
 	group := &cobra.Command{Use: "catalog", Short: "Show and change the catalog of queues, pools and teams; the highest version takes effect"}
 	group.AddCommand(&cobra.Command{
