--- a/coordinator/cluster_test.go
+++ b/coordinator/cluster_test.go
@@ -58,6 +58,10 @@
 	heldPolls int
 	// jobMemory is the option of that name; 0 means the default.
 	jobMemory int64
+	// dataCenterOf returns the data centre of a worker; nil means that all are in "dc".
+	dataCenterOf func(identifier.WorkerID) identifier.DataCenterID
+	// dataCenters is the option of that name.
+	dataCenters []identifier.DataCenterID
 	// forwardedReports counts the reports that one instance forwarded to another.
 	forwardedReports atomic.Int64
 	startedAt        time.Time
@@ -200,8 +204,12 @@
 
 func (c *cluster) report(ctx context.Context, id identifier.WorkerID, worker *faker.TaskWorker, state scheduler.WorkerState) {
 	sequence, clock := worker.NextReport()
+	dataCenter := identifier.DataCenterID("dc")
+	if c.dataCenterOf != nil {
+		dataCenter = c.dataCenterOf(id)
+	}
 	data, err := json.Marshal(reportBody{
-		Pool: "pool", Address: string(id), DataCenter: "dc", State: string(state), Sequence: sequence,
+		Pool: "pool", Address: string(id), DataCenter: string(dataCenter), State: string(state), Sequence: sequence,
 		Incarnation: int64(worker.Incarnation), Clock: int64(clock), Remaining: 10000, Machine: "m-" + string(id), Labels: worker.Labels, Capacity: worker.CurrentCapacity(),
 	})
 	if err != nil {
--- a/cranberryd/node/node_test.go
+++ b/cranberryd/node/node_test.go
@@ -108,7 +108,7 @@
 			_ = response.Body.Close()
 		}
 		for _, want := range []string{
-			`"rules":true`, `"catalog-age-ms"`, `"pending"`,  `"events.job-accepted"`, `"events.data-center-emptied"`, `"name":"z0","emptied":true,"version":1`, `"events.office-taken"`, `"jobs.cancelled"`,
+			`"rules":true`, `"catalog-age-ms"`, `"pending"`, `"events.job-accepted"`, `"events.data-center-emptied"`, `"name":"z0","emptied":true,"version":1`, `"events.office-taken"`, `"jobs.cancelled"`,
 			`"name":"job","member":"a","class":"q.cancelled","count":1`, `"name":"commit"`, `"name":"sync"`, `"log.lines-dropped": 7`,
 		} {
 			if !strings.Contains(vars.String(), want) {
