--- a/coordinator/datacenter_test.go
+++ b/coordinator/datacenter_test.go
@@ -135,6 +135,9 @@
 				c.submit("long", jobID(1), scheduler.Request{Spec: "s", Steps: []scheduler.Step{step(160, 1500, 1)}})
 				time.Sleep(time.Second)
 				emptied := c.empty()
+				for i := range 70 { // so many entries that the order is only in a snapshot
+					c.configure(2+i, 3)
+				}
 				crashed := []*host{c.waitForLeader(time.Second)}
 				if all {
 					crashed = c.hosts
@@ -268,7 +271,8 @@
 
 // Guards against work that is lost or stuck when its data centre is emptied: tasks that
 // can resume move, long-running ones no more at a time than their step tolerates, gangs
-// as a whole, and a task that would lose its work runs to its end.
+// as a whole, and a task that would lose its work runs to its end. Operators must see
+// what is left and which guarantees no longer fit.
 func TestRunsLeaveEmptiedDataCenter(t *testing.T) {
 	inClusterWith(t, 340, 4, 4, twoDataCenters, func(c *cluster) {
 		longRunning, gang, checkpointing, plain := step(6, 0, 1), step(2, 20000, 2), step(3, 20000, 1), step(3, 8000, 1)
@@ -283,6 +287,14 @@
 		if got := c.listDataCenters()["z0"]; got.Runs != 14 || got.LongRunning != 6 || got.WaitingForRoom != 11 {
 			t.Errorf("without room elsewhere, z0 has %+v, want 14 runs, 6 of them long-running, 11 that wait for room", got)
 		}
+		checkKept := func(kept, unkept int) {
+			overview := string(c.callUntilOK(forwarder.Call{Kind: forwarder.KindOverview}, time.Second).Document)
+			metrics := c.waitForLeader(time.Second).coordinator.Metrics()
+			if strings.Count(overview, `"guarantee-kept":true`) != kept || len(metrics.UnkeptGuarantees) != unkept {
+				t.Errorf("overview %s, metrics without guarantees of %v, want %d kept and %d not", overview, metrics.UnkeptGuarantees, kept, unkept)
+			}
+		}
+		checkKept(0, 2)
 		c.addOtherDataCenter()
 		for c.listDataCenters()["z0"].Runs > 0 {
 			alive := 0
@@ -299,6 +311,7 @@
 		for _, job := range []int{2, 3, 4} {
 			c.waitForState("long", jobID(job), "completed", 30*time.Second)
 		}
+		checkKept(2, 0)
 		c.checkNoStartsSince(emptied)
 		starts := map[identifier.JobID]int{}
 		for _, event := range c.workerCluster.History() {
