coordinator: schedules of faults with a data centre that is emptied and returned

Change: the seeded schedules run with an operator who empties and returns a data centre; no start may arrive there while it is emptied, but late ones before their deadline.

--- a/coordinator/datacenter_test.go
+++ b/coordinator/datacenter_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -324,3 +325,52 @@
 		}
 	})
 }
+
+// Guards against starts in an emptied data centre, lost work and broken gangs when the
+// data centre is emptied and returned again and again under the faults of the schedules.
+// Only a late start may arrive there, before its deadline.
+func TestSchedulesWithEmptiedDataCenter(t *testing.T) {
+	const latestStart = 2600 * time.Millisecond // 2.5 s on a clock that is 1 % slow
+	for i := range max(1, *seedCount/4) {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			inClusterWith(t, seed, 4, 8, twoDataCenters, func(c *cluster) {
+				s := newSchedule(c, seed)
+				var windows [][2]time.Time
+				stop, stopped := make(chan struct{}), make(chan struct{})
+				go func() {
+					defer close(stopped)
+					random := rand.New(rand.NewPCG(seed, 3))
+					for running := true; running; {
+						window := [2]time.Time{}
+						c.callUntilOK(emptyCall("z0"), 60*time.Second)
+						window[0] = time.Now()
+						select {
+						case <-time.After(time.Duration(random.IntN(8000)) * time.Millisecond):
+						case <-stop:
+							running = false
+						}
+						window[1] = time.Now()
+						windows = append(windows, window)
+						c.callUntilOK(forwarder.Call{Kind: forwarder.KindReturnDataCenter, DataCenter: "z0"}, 60*time.Second)
+						time.Sleep(time.Duration(random.IntN(4000)) * time.Millisecond)
+					}
+				}()
+				s.run()
+				close(stop)
+				<-stopped
+				s.check()
+				for _, event := range c.workerCluster.History() {
+					for _, window := range windows {
+						if event.EndKind != "" || c.dataCenterOf(event.Worker) != "z0" || event.At.Before(window[0]) || event.At.After(window[1]) {
+							continue
+						}
+						if since := event.At.Sub(window[0]); !event.Late && since > 0 || since > latestStart {
+							t.Errorf("%s started on %s %v after the data centre was emptied, late %t", event.Run, event.Worker, since, event.Late)
+						}
+					}
+				}
+			})
+		})
+	}
+}
--- a/coordinator/schedules_test.go
+++ b/coordinator/schedules_test.go
@@ -40,13 +40,7 @@
 		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			inCluster(t, seed, 4, 8, func(c *cluster) {
-				s := &schedule{
-					c: c, random: rand.New(rand.NewPCG(seed, 1)), extraRandom: rand.New(rand.NewPCG(seed, 2)), version: 1,
-					accepted: map[identifier.JobID]string{}, refused: map[identifier.JobID]bool{},
-				}
-				for i := range 8 {
-					s.workers = append(s.workers, identifier.WorkerID(fmt.Sprintf("w-%02d", i)))
-				}
+				s := newSchedule(c, seed)
 				s.run()
 				s.check()
 			})
@@ -54,6 +48,17 @@
 	}
 }
 
+func newSchedule(c *cluster, seed uint64) *schedule {
+	s := &schedule{
+		c: c, random: rand.New(rand.NewPCG(seed, 1)), extraRandom: rand.New(rand.NewPCG(seed, 2)), version: 1,
+		accepted: map[identifier.JobID]string{}, refused: map[identifier.JobID]bool{},
+	}
+	for i := range 8 {
+		s.workers = append(s.workers, identifier.WorkerID(fmt.Sprintf("w-%02d", i)))
+	}
+	return s
+}
+
 func (s *schedule) run() {
 	faults := faker.TaskFaults{LateDelay: time.Duration(2+s.random.IntN(8)) * time.Second}
 	if s.random.IntN(2) == 0 {
