--- a/coordinator/meter.go
+++ b/coordinator/meter.go
@@ -33,6 +33,11 @@
 	DrainingWorkers     int `json:"draining-workers"`
 	// TeamShares holds what the teams hold and, on the leader, what they wait for.
 	TeamShares []scheduler.TeamShare `json:"team-shares,omitempty"`
+	// DataCenters holds all data centres that are known here.
+	DataCenters []DataCenterView `json:"data-centers"`
+	// UnkeptGuarantees holds the teams whose guarantee does not fit into the capacity
+	// that is left.
+	UnkeptGuarantees []identifier.TeamID `json:"unkept-guarantees,omitempty"`
 }
 
 // Metrics returns the current metrics.
@@ -44,7 +49,8 @@
 	metrics := Metrics{
 		Leader: status.Leader, Members: status.Members, HoldsLeaderLease: status.HoldsLeaderLease, Term: uint64(view.Term), Commit: view.Commit,
 		Statistics: c.state.Statistics(), Queues: c.queueMetrics(), WaitingProposals: len(c.queue),
-		TeamShares: c.teamShares(),
+		TeamShares:  c.teamShares(),
+		DataCenters: c.dataCenterViews(), UnkeptGuarantees: c.unkeptGuarantees(),
 	}
 	if !c.catalogSince.IsZero() {
 		metrics.CatalogAgeMillis = time.Since(c.catalogSince).Milliseconds()
--- a/coordinator/options.go
+++ b/coordinator/options.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cranberrystack.dev/cranberrystack/identifier"
 	"cranberrystack.dev/cranberrystack/replicator"
 )
 
@@ -53,12 +54,12 @@
 	contactTimeout time.Duration
 	callTimeout    time.Duration
 	dutyLease      time.Duration
-	// fairShare says that the jobs of all queues take part in the sharing.
-	fairShare  bool
-	tick       time.Duration
-	idleTick   time.Duration
-	clock      func() time.Duration
-	logOptions []replicator.Option
+	fairShare      bool
+	tick           time.Duration
+	idleTick       time.Duration
+	clock          func() time.Duration
+	dataCenters    []identifier.DataCenterID
+	logOptions     []replicator.Option
 }
 
 // Option changes a setting of a coordinator.
@@ -108,6 +109,12 @@
 	return func(o *options) { o.clock = clock }
 }
 
+// DataCenters names data centres that operators may empty although no worker has
+// registered there yet.
+func DataCenters(names ...identifier.DataCenterID) Option {
+	return func(o *options) { o.dataCenters = names }
+}
+
 // LogOptions sets options of the replicated log.
 func LogOptions(opts ...replicator.Option) Option {
 	return func(o *options) { o.logOptions = opts }
--- a/cranberryd/node/coordination.go
+++ b/cranberryd/node/coordination.go
@@ -70,6 +70,7 @@
 		coordinator.HeldPolls(p.idleConnections(purposePolls)),
 		coordinator.JobMemory(jobMemory(settings)),
 		coordinator.FairShare(settings.Sharing == loader.SharingFair),
+		coordinator.DataCenters(settings.DataCenters...),
 		coordinator.DutyLease(settings.Bounds.DutyLease.Std()),
 		coordinator.Clock(p.deps.Clock),
 		coordinator.LogOptions(
