scheduler: learn run times from recorded ends, and plan with them if told to

Callers' estimates are unreliable and nothing that a worker reports tells its speed.

the setting run-times let the planner use the expected run times and the pace of workers; without it the planner gets the declared estimates, as before.

--- a/coordinator/calls.go
+++ b/coordinator/calls.go
@@ -63,6 +63,8 @@
 		return c.explain(call)
 	case forwarder.KindOverview:
 		return c.overview()
+	case forwarder.KindEstimates:
+		return c.estimates()
 	}
 	return problemAnswer(responder.CodeInvalid, "unknown kind of call")
 }
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -366,6 +366,7 @@
 		stopEvents:      map[identifier.JobID][]scheduler.JobEvent{},
 		upkeepInFlight:  map[scheduler.MachineID]bool{},
 	}
+	c.lead.planner.LearnedRunTimes = c.options.learnRunTimes
 	c.lead.observer.EarlierLease = c.state.EarlierLease(c.options.maxLease)
 	statistics := c.state.Statistics()
 	c.event("leadership-acquired", "term", view.Term, "commit", view.Commit, "catalog-version", statistics.CatalogVersion,
--- a/coordinator/explain.go
+++ b/coordinator/explain.go
@@ -18,6 +18,8 @@
 	Accepted     scheduler.UnixMilli `json:"accepted"`
 	Ended        scheduler.UnixMilli `json:"ended,omitempty"`
 	Reason       string              `json:"reason,omitempty"`
+	// Steps is empty once the job has ended and its steps are no longer known.
+	Steps        []stepRunTime       `json:"steps,omitempty"`
 	WaitingTasks int                 `json:"waiting-tasks"`
 	DoneTasks    int                 `json:"done-tasks"`
 	Runs         []*scheduler.Run    `json:"runs,omitempty"`
@@ -46,6 +48,7 @@
 			}
 		}
 	}
+	e.Steps = c.stepRunTimes(job)
 	e.Runs = c.state.RunsOfJob(job.ID)
 	e.Events = append(e.Events, job.Events...)
 	if c.lead != nil {
@@ -64,6 +67,8 @@
 	Runs               int                   `json:"runs"`
 	SinceContactMillis int64                 `json:"heard-ms-ago"`
 	MissedPolls        int                   `json:"misses"`
+	// Pace is the learned pace of the worker's machine; 0 if it is unknown.
+	Pace float64 `json:"pace,omitempty"`
 }
 
 // QueueMetrics counts the jobs of a queue of which no task has started.
@@ -100,7 +105,7 @@
 		})
 	}
 	for _, worker := range c.state.Workers() {
-		view := workerView{Worker: worker.ID, State: worker.State, Pool: worker.Pool, Runs: len(c.state.RunsOn(worker.ID))}
+		view := workerView{Worker: worker.ID, State: worker.State, Pool: worker.Pool, Runs: len(c.state.RunsOn(worker.ID)), Pace: c.knownPace(worker)}
 		if observation := c.lead.observer.Observation(worker.ID); observation != nil {
 			view.SinceContactMillis = millisSince(observation.LastContact)
 			view.MissedPolls = observation.MissedPolls
--- a/coordinator/meter.go
+++ b/coordinator/meter.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cranberrystack.dev/cranberrystack/estimator"
 	"cranberrystack.dev/cranberrystack/identifier"
 	"cranberrystack.dev/cranberrystack/recorder"
 	"cranberrystack.dev/cranberrystack/scheduler"
@@ -25,6 +26,8 @@
 	CatalogAgeMillis int64                `json:"catalog-age-ms"`
 	Statistics       scheduler.Statistics `json:"statistics"`
 	Queues           []QueueMetrics       `json:"queues,omitempty"`
+	// Estimates summarizes what was learned from the ends of runs.
+	Estimates estimator.Statistics `json:"estimates"`
 	// WaitingProposals counts the proposals that are not submitted to the log yet.
 	WaitingProposals int `json:"waiting-commands"`
 	// UnresponsiveWorkers counts the workers that missed their last poll. It is 0
@@ -41,7 +44,7 @@
 	defer c.mu.Unlock()
 	metrics := Metrics{
 		Leader: status.Leader, Members: status.Members, HoldsLeaderLease: status.HoldsLeaderLease, Term: uint64(view.Term), Commit: view.Commit,
-		Statistics: c.state.Statistics(), Queues: c.queueMetrics(), WaitingProposals: len(c.queue),
+		Statistics: c.state.Statistics(), Queues: c.queueMetrics(), Estimates: c.state.Estimates().Statistics(), WaitingProposals: len(c.queue),
 	}
 	if !c.catalogSince.IsZero() {
 		metrics.CatalogAgeMillis = time.Since(c.catalogSince).Milliseconds()
--- a/coordinator/options.go
+++ b/coordinator/options.go
@@ -53,6 +53,7 @@
 	contactTimeout time.Duration
 	callTimeout    time.Duration
 	dutyLease      time.Duration
+	learnRunTimes  bool
 	tick           time.Duration
 	idleTick       time.Duration
 	clock          func() time.Duration
@@ -100,6 +101,12 @@
 	return func(o *options) { o.dutyLease = lease }
 }
 
+// LearnRunTimes sets whether the leader plans with learned run times and paces of
+// workers instead of the declared estimates. They are learned in either case.
+func LearnRunTimes(learned bool) Option {
+	return func(o *options) { o.learnRunTimes = learned }
+}
+
 // Clock sets the clock that leader leases are measured with. It must advance
 // while the instance is suspended.
 func Clock(clock func() time.Duration) Option {
--- a/cranberryd/loader/node.go
+++ b/cranberryd/loader/node.go
@@ -21,6 +21,14 @@
 	RoleCoordination = "coordination"
 )
 
+// The values of NodeSettings.RunTimes.
+const (
+	// RunTimesDeclared are the estimates that callers declare.
+	RunTimesDeclared = "declared"
+	// RunTimesLearned are learned from finished runs, with the paces of workers.
+	RunTimesLearned = "learned"
+)
+
 // NodeListen holds the addresses that a node listens on in addition to Address.
 // Each belongs to one role.
 type NodeListen struct {
@@ -92,10 +100,12 @@
 	Advice string `json:"advice,omitempty"`
 	// MachineManager is the address of the machine manager; empty if there is
 	// none.
-	MachineManager string      `json:"machines,omitempty"`
-	Bounds         NodeBounds  `json:"bounds"`
-	Control        NodeControl `json:"control"`
-	Log            NodeLog     `json:"log"`
+	MachineManager string `json:"machines,omitempty"`
+	// RunTimes says which run times the leader plans with.
+	RunTimes string `json:"run-times" validate:"oneof=declared learned"`
+	Bounds   NodeBounds  `json:"bounds"`
+	Control  NodeControl `json:"control"`
+	Log      NodeLog     `json:"log"`
 }
 
 // reloadable lists the settings that a running node applies.
@@ -186,6 +196,7 @@
 // empty and must be set.
 func DefaultNode() *NodeSettings {
 	return &NodeSettings{
+		RunTimes: RunTimesDeclared,
 		Bounds:  NodeBounds{Grace: "6s", MaxLease: "6s", DutyLease: "3s"},
 		Control: NodeControl{HeartbeatInterval: "120ms", ElectionTimeout: "700ms", CompactEntries: 2000, ToleratedLosses: 1},
 		Log:     NodeLog{LinesPerSecond: 800},
--- a/cranberryd/node/coordination.go
+++ b/cranberryd/node/coordination.go
@@ -70,6 +70,7 @@
 		coordinator.HeldPolls(p.idleConnections(purposePolls)),
 		coordinator.JobMemory(jobMemory(settings)),
 		coordinator.DutyLease(settings.Bounds.DutyLease.Std()),
+		coordinator.LearnRunTimes(settings.RunTimes == loader.RunTimesLearned),
 		coordinator.Clock(p.deps.Clock),
 		coordinator.LogOptions(
 			replicator.HeartbeatInterval(settings.Control.HeartbeatInterval.Std()),
--- a/scheduler/chooser.go
+++ b/scheduler/chooser.go
@@ -183,7 +183,7 @@
 	if !need.Fits(left) || !k.pass.eligible(k.unit, c) {
 		return 0, false
 	}
-	return k.pass.cost(k.unit, task, c, left.Minus(need)), true
+	return k.pass.cost(k.unit, task, c, left.Minus(need)) + k.unit.pace.cost(c.pace), true
 }
 
 // next returns the candidate with the lowest cost for a task, or nil if none fits.
@@ -275,7 +275,7 @@
 		return 0, false
 	}
 	_, cost, fits := e.pass.selectVictims(e.unit, c, need)
-	return cost + e.pass.cost(e.unit, task, c, Resources{}), fits
+	return cost + e.pass.cost(e.unit, task, c, Resources{}) + e.pass.slowdownCost(e.unit, c), fits
 }
 
 // next orders the runs on the best candidate to stop for a task and returns the
--- a/scheduler/copies.go
+++ b/scheduler/copies.go
@@ -9,8 +9,8 @@
 	// maxCopyShare bounds the share of a step's tasks that may have a
 	// speculative copy at a time. One task always may.
 	maxCopyShare = 0.1
-	// stragglerFactor is the multiple of its step's estimate that a run must
-	// still need before a copy is started.
+	// stragglerFactor is the multiple of its step's declared estimate that a run must
+	// still need before a copy is started, if no run times are learned.
 	stragglerFactor = 1.5
 )
 
@@ -26,6 +26,7 @@
 		u.rackWaitOver = p.rackWaitOver(u)
 		index := u.tasks[0]
 		first := p.state.runs[RunID{Task: u.task(index), Number: u.state.Tasks[index].RunNumber}]
+		u.pace = p.copyRule(first)
 		c := p.newChooser(u, p.candidatesExcept(first), capacityFree, false).next(u.task(index))
 		if c == nil {
 			continue
@@ -101,7 +102,7 @@
 	if observation := p.observer.Observation(run.Worker); observation != nil && observation.MissedPolls > 0 {
 		return true
 	}
-	return float64(remainingMillis(u.step, run, p.observer, p.wall)) > stragglerFactor*float64(u.step.EstimateMillis)
+	return float64(remainingMillis(u.step, run, p.observer, p.wall)) > p.observer.runTimes.stragglerMillis(u.job, u.stepIndex)
 }
 
 // candidatesExcept returns the candidates other than the worker of a run.
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -53,12 +53,12 @@
 // rack could ever hold the gang.
 func (p *placementPass) fitGang(u *unit, kind capacityKind) []*candidate {
 	if !u.step.SameRack {
-		return p.fitTasks(u, nil, kind)
+		return p.fitLikePaces(u, nil, kind)
 	}
 	var best []*candidate
 	lowest := 0.0
 	for _, rack := range p.racks {
-		candidates := p.fitTasks(u, rack, kind)
+		candidates := p.fitLikePaces(u, rack, kind)
 		if candidates == nil {
 			continue
 		}
@@ -71,14 +71,14 @@
 		return best
 	}
 	if u.rackWaitOver || !p.anyRackCanHold(u) {
-		return p.fitTasks(u, nil, kind)
+		return p.fitLikePaces(u, nil, kind)
 	}
 	return nil
 }
 
 // gangCost returns the total cost of placing a gang on the chosen candidates.
 func (p *placementPass) gangCost(u *unit, candidates []*candidate, kind capacityKind) float64 {
-	cost := 0.0
+	cost := u.gangSlowCost(candidates)
 	for i, c := range candidates {
 		task := u.task(u.tasks[i])
 		cost += p.cost(u, &task, c, c.left(kind).Minus(u.step.Demand()))
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -229,6 +229,11 @@
 	DoneTasks int `json:"done-tasks,omitempty"`
 
 	criticalPathMillis int64
+	// expected and expectedPathMillis are what the planner of this instance last
+	// expected of the steps and of the critical path, if it uses learned run times. They
+	// are nil and 0 otherwise.
+	expected           *expectations
+	expectedPathMillis int64
 	// liveRuns counts the runs that may be alive.
 	liveRuns int
 }
@@ -319,7 +324,7 @@
 // release drops what the job no longer needs once it has ended and has no runs.
 func (j *Job) release() {
 	j.DoneTasks = j.CountDone()
-	j.Occurrences, j.Request = nil, Request{}
+	j.Occurrences, j.Request, j.expected = nil, Request{}, nil
 }
 
 // dependenciesDone reports whether all steps that a step depends on are done.
@@ -338,10 +343,19 @@
 }
 
 // ObjectiveMillis returns the time in which an occurrence should complete, counted
-// from when it is due: Policy.Stretch times the critical path by the estimates of
-// the steps, plus Policy.ObjectiveMillis.
+// from when it is due: Policy.Stretch times the critical path, plus
+// Policy.ObjectiveMillis.
 func (j *Job) ObjectiveMillis() int64 {
-	return int64(j.Policy.Stretch*float64(j.criticalPathMillis)) + j.Policy.ObjectiveMillis
+	return int64(j.Policy.Stretch*float64(j.pathMillis())) + j.Policy.ObjectiveMillis
+}
+
+// pathMillis returns the length of the critical path: the expected one if the planner
+// uses learned run times, and otherwise that by the estimates of the steps.
+func (j *Job) pathMillis() int64 {
+	if j.expectedPathMillis > 0 {
+		return j.expectedPathMillis
+	}
+	return j.criticalPathMillis
 }
 
 func (j *Job) end(phase Phase, reason string, now UnixMilli) {
--- a/scheduler/observer.go
+++ b/scheduler/observer.go
@@ -102,6 +102,9 @@
 	// avoided holds the workers on which each task has failed or stalled, until
 	// a run of the task succeeds or its job ends.
 	avoided map[TaskID]map[identifier.WorkerID]bool
+	// runTimes holds the run times that the planner's last pass used; nil for the
+	// declared ones.
+	runTimes *runTimes
 }
 
 // Ticket allows a step's tasks to start on one incarnation of a worker.
--- a/scheduler/pass.go
+++ b/scheduler/pass.go
@@ -42,6 +42,8 @@
 	recentFailures int
 	// quiet says that the worker has not been in contact for a while.
 	quiet bool
+	// pace is the worker's relative speed, 1 if it is usual or unknown.
+	pace float64
 }
 
 // placementPass is one pass over the waiting work: the candidate workers and
@@ -74,6 +76,10 @@
 	// acceleratorReserve is the number of accelerators kept free for urgent
 	// work.
 	acceleratorReserve int64
+	// fastestPace is the highest pace of a candidate, and unevenPaces says that the
+	// pace of some candidate is not usual.
+	fastestPace float64
+	unevenPaces bool
 }
 
 // keepsReserve reports whether placing the given number of tasks of a unit
@@ -98,8 +104,10 @@
 		c := &candidate{
 			worker: worker, rack: worker.Rack(), free: worker.Capacity, afterStops: worker.Capacity,
 			likelyFaulty: o.LikelyFaulty(worker.ID, now), recentFailures: o.observations[worker.ID].recentFailures(now), position: len(p.candidates),
-			quiet: o.observations[worker.ID].quiet(now),
+			quiet: o.observations[worker.ID].quiet(now), pace: o.runTimes.pace(worker),
 		}
+		p.fastestPace = max(p.fastestPace, c.pace)
+		p.unevenPaces = p.unevenPaces || c.pace != 1
 		for id, run := range s.placed[worker.ID] {
 			c.addRun(s, o, id, run, wall)
 		}
@@ -219,7 +227,7 @@
 // capacity of runs that are being stopped, or preempts other runs. Those tasks
 // are assigned in a later pass, once the stopped runs have ended.
 func (p *placementPass) place(u *unit) (Assign, []Stop) {
-	u.rackWaitOver = p.rackWaitOver(u)
+	u.rackWaitOver, u.pace = p.rackWaitOver(u), p.paceRule(u)
 	if u.step.Gang {
 		return p.placeGang(u)
 	}
@@ -292,11 +300,11 @@
 
 // rackWaitOver reports whether a unit should no longer wait for its preferred
 // rack. It waits about as long as it would lose on another rack, for which its
-// step's estimate is taken, or a quarter of that if it may preempt. It does not
+// expected run time is taken, or a quarter of that if it may preempt. It does not
 // wait if no candidate of its data rack is large enough, and at most
 // maxIdleRackWait while its job has no run and mostlyFree holds.
 func (p *placementPass) rackWaitOver(u *unit) bool {
-	limit := time.Duration(u.step.EstimateMillis) * time.Millisecond
+	limit := time.Duration(p.observer.runTimes.meanMillis(u.job, u.stepIndex)) * time.Millisecond
 	if u.mayPreempt {
 		limit /= 4
 	}
--- a/scheduler/planner.go
+++ b/scheduler/planner.go
@@ -55,6 +55,10 @@
 // Planner decides which tasks run on which workers. It tracks how long each
 // step has waited. It is not safe for concurrent use.
 type Planner struct {
+	// LearnedRunTimes says that learned run times and paces of workers are used
+	// instead of the declared estimates.
+	LearnedRunTimes bool
+
 	waitingSince map[StepID]time.Time
 	// fruitless holds when runs to preempt for a step were last searched in vain, for
 	// searchPause.
@@ -96,6 +100,8 @@
 	// rackWaitOver says that the unit no longer waits for its preferred rack. It is
 	// set when the unit is placed.
 	rackWaitOver bool
+	// pace is how the pace of a worker counts. It is set when the unit is placed.
+	pace paceRule
 	// searchedInVain says that runs to preempt for the unit were searched a short
 	// time ago, and none were found.
 	searchedInVain bool
@@ -113,6 +119,7 @@
 // that it finds; the caller records the stops that it orders.
 func (p *Planner) Plan(s *State, o *Observer, now time.Time, wall UnixMilli) Plan {
 	var plan Plan
+	o.runTimes = p.runTimes(s, now)
 	plan.Stop = requiredStops(s, o, wall)
 	pass := newPlacementPass(s, o, now, wall)
 	for _, stop := range plan.Stop {
@@ -121,7 +128,7 @@
 			o.RecordStall(s.runs[stop.Run], now)
 		}
 	}
-	units := p.waitingUnits(s, now, wall)
+	units := p.waitingUnits(s, o.runTimes, now, wall)
 	plan.Waiting = len(units)
 	units = pass.usage.rankGuaranteed(units)
 	pass.acceleratorReserve = p.updateReserve(s, units, pass, now)
@@ -143,6 +150,14 @@
 	return plan
 }
 
+// runTimes returns the run times that a pass uses, nil for the declared ones.
+func (p *Planner) runTimes(s *State, now time.Time) *runTimes {
+	if !p.LearnedRunTimes {
+		return nil
+	}
+	return &runTimes{state: s, now: now}
+}
+
 // searchPause is how long no runs to preempt are searched for a step after a search
 // in vain, so that steps behind it get their turn.
 const searchPause = 300 * time.Millisecond
@@ -186,7 +201,7 @@
 }
 
 // waitingUnits returns the units that are ready to start, most urgent first.
-func (p *Planner) waitingUnits(s *State, now time.Time, wall UnixMilli) []*unit {
+func (p *Planner) waitingUnits(s *State, times *runTimes, now time.Time, wall UnixMilli) []*unit {
 	var units []*unit
 	maps.DeleteFunc(p.fruitless, func(_ StepID, at time.Time) bool { return now.Sub(at) >= searchPause })
 	waitingSince := map[StepID]time.Time{}
@@ -208,6 +223,7 @@
 				waitingSince[u.id()] = since
 				u.waited = now.Sub(since)
 				_, u.searchedInVain = p.fruitless[u.id()]
+				times.expectPath(job)
 				u.setRank(wall)
 				units = append(units, u)
 			}
@@ -277,7 +293,7 @@
 		u.mayPreempt = false
 	}
 	objective := u.job.objectiveTime(u.occurrence)
-	u.latestStart = objective - UnixMilli(u.job.criticalPathMillis)
+	u.latestStart = objective - UnixMilli(u.job.pathMillis())
 	span := objective - u.job.Occurrences[u.occurrence].Due
 	const lateFactor = 3
 	if !u.mayPreempt && wall > objective+(lateFactor-1)*span {
@@ -360,7 +376,7 @@
 
 // remainingMillis estimates how long a run still takes, in milliseconds. It
 // extrapolates from a progress of more than 5 percent. Without one, it uses the
-// step's estimate, of which at least a quarter is assumed to remain.
+// expected run time, of which at least a quarter is assumed to remain.
 func remainingMillis(step *Step, run *Run, o *Observer, wall UnixMilli) int64 {
 	elapsed := int64(wall - run.Assigned)
 	if observation := o.Observation(run.Worker); observation != nil {
@@ -368,7 +384,8 @@
 			return elapsed * int64(100-progress.Percent) / int64(progress.Percent)
 		}
 	}
-	return max(step.EstimateMillis-elapsed, step.EstimateMillis/4)
+	expected := o.runTimes.runMillis(step, run)
+	return max(expected-elapsed, expected/4)
 }
 
 // lostWork returns how much work is lost by stopping a run, in
@@ -406,7 +423,7 @@
 			continue
 		}
 		step, _, _ := job.step(run.ID.Task)
-		all = append(all, victim{run: run, job: job, step: step, demand: step.Demand(), cost: stopCost(job, run, wall)})
+		all = append(all, victim{run: run, job: job, step: step, demand: step.Demand(), cost: stopCost(o, job, run, wall)})
 	}
 	slices.SortFunc(all, func(a, b victim) int {
 		switch {
@@ -425,8 +442,9 @@
 const protectedCost = 1e12
 
 // stopCost returns the cost of stopping a run.
-func stopCost(job *Job, run *Run, wall UnixMilli) float64 {
+func stopCost(o *Observer, job *Job, run *Run, wall UnixMilli) float64 {
 	cost := lostWork(job, run, wall)
+	cost += o.runTimes.completionCost(run, cost, wall)
 	if step, _, _ := job.step(run.ID.Task); step.LongRunning || job.Policy.Priority == 0 {
 		cost += protectedCost
 	}
--- a/scheduler/stall.go
+++ b/scheduler/stall.go
@@ -35,7 +35,7 @@
 // It doubles for each worker on which the task has failed or stalled, so that
 // a task that is slow on every worker can complete.
 func (o *Observer) stallLimit(step *Step, run *Run, progress Progress, wall UnixMilli) time.Duration {
-	perPercent := step.EstimateMillis / 100
+	perPercent := o.runTimes.patienceMillis(step, run) / 100
 	if progress.Percent > 0 {
 		productive := int64(wall-run.Assigned) - progress.ReportedAt.Sub(progress.AdvancedAt).Milliseconds()
 		perPercent = max(perPercent, productive/int64(progress.Percent))
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sort"
 
+	"cranberrystack.dev/cranberrystack/estimator"
 	"cranberrystack.dev/cranberrystack/identifier"
 )
 
@@ -25,6 +26,8 @@
 	// prunedAt is when ended jobs were last pruned.
 	prunedAt UnixMilli
 	lease    leaderLease
+	// estimates is learned from the ends of runs. It never affects an Outcome.
+	estimates *estimator.Estimator
 
 	// The fields below are derived from those above.
 
@@ -45,6 +48,7 @@
 		waves:   map[WaveID]*Wave{},
 
 		dataCenters: map[identifier.DataCenterID]DataCenterState{},
+		estimates:   estimator.New(),
 
 		active: map[identifier.JobID]*Job{},
 		placed: map[identifier.WorkerID]map[RunID]*Run{},
@@ -63,11 +67,15 @@
 	// PrunedAt is when ended jobs were last pruned.
 	PrunedAt UnixMilli   `json:"forgotten,omitempty"`
 	Lease    leaderLease `json:"lease,omitzero"`
+	// Estimates is absent in snapshots of versions that did not learn run times.
+	Estimates json.RawMessage `json:"estimates,omitempty"`
 }
 
 // Snapshot encodes the state.
 func (s *State) Snapshot() ([]byte, error) {
-	stored := storedState{Document: s.document, PrunedAt: s.prunedAt, Lease: s.lease, DataCenters: s.DataCenters()}
+	stored := storedState{
+		Document: s.document, PrunedAt: s.prunedAt, Lease: s.lease, DataCenters: s.DataCenters(), Estimates: s.storeEstimates(),
+	}
 	for _, job := range s.jobs {
 		stored.Jobs = append(stored.Jobs, job)
 	}
@@ -96,6 +104,7 @@
 	}
 	fresh := NewState()
 	fresh.prunedAt, fresh.lease = stored.PrunedAt, stored.Lease
+	fresh.estimates = restoreEstimates(stored.Estimates)
 	if len(stored.Document) > 0 {
 		catalog, err := ParseCatalog(stored.Document)
 		if err != nil {
