--- a/coordinator/explain.go
+++ b/coordinator/explain.go
@@ -11,18 +11,18 @@
 
 // explanation is the response to a call of KindExplain.
 type explanation struct {
-	Job          identifier.JobID    `json:"job"`
-	State        JobState            `json:"state"`
-	Queue        scheduler.QueueName `json:"queue"`
-	Team         identifier.TeamID   `json:"team,omitempty"`
-	Accepted     scheduler.UnixMilli `json:"accepted"`
-	Ended        scheduler.UnixMilli `json:"ended,omitempty"`
-	Reason       string              `json:"reason,omitempty"`
+	Job      identifier.JobID    `json:"job"`
+	State    JobState            `json:"state"`
+	Queue    scheduler.QueueName `json:"queue"`
+	Team     identifier.TeamID   `json:"team,omitempty"`
+	Accepted scheduler.UnixMilli `json:"accepted"`
+	Ended    scheduler.UnixMilli `json:"ended,omitempty"`
+	Reason   string              `json:"reason,omitempty"`
 	// Steps is empty once the job has ended and its steps are no longer known.
-	Steps        []stepRunTime       `json:"steps,omitempty"`
-	WaitingTasks int                 `json:"waiting-tasks"`
-	DoneTasks    int                 `json:"done-tasks"`
-	Runs         []*scheduler.Run    `json:"runs,omitempty"`
+	Steps        []stepRunTime    `json:"steps,omitempty"`
+	WaitingTasks int              `json:"waiting-tasks"`
+	DoneTasks    int              `json:"done-tasks"`
+	Runs         []*scheduler.Run `json:"runs,omitempty"`
 	// Events are the job's events, with the stops ordered during the current
 	// leadership.
 	Events []scheduler.JobEvent `json:"events"`
--- a/cranberryctl/command/work.go
+++ b/cranberryctl/command/work.go
@@ -23,7 +23,7 @@
 // newStepJobs returns the commands for jobs with steps.
 func newStepJobs(s *session) []*cobra.Command {
 	return []*cobra.Command{
-		newStepJobSubmit(s), newStepJobWatch(s), newStepJobCancel(s), newExplain(s), newTop(s), newCatalog(s),
+		newStepJobSubmit(s), newStepJobWatch(s), newStepJobCancel(s), newExplain(s), newTop(s), newCatalog(s), newEstimates(s),
 	}
 }
 
@@ -150,16 +150,17 @@
 }
 
 type explainResponse struct {
-	Job      string    `json:"job"`
-	State    string    `json:"state"`
-	Queue    string    `json:"queue"`
-	Team     string    `json:"team"`
-	Accepted int64     `json:"accepted"`
-	Ended    int64     `json:"ended"`
-	Reason   string    `json:"reason"`
-	Waiting  int       `json:"waiting-tasks"`
-	Done     int       `json:"done-tasks"`
-	Runs     []runView `json:"runs"`
+	Job      string        `json:"job"`
+	State    string        `json:"state"`
+	Queue    string        `json:"queue"`
+	Team     string        `json:"team"`
+	Accepted int64         `json:"accepted"`
+	Ended    int64         `json:"ended"`
+	Reason   string        `json:"reason"`
+	Waiting  int           `json:"waiting-tasks"`
+	Done     int           `json:"done-tasks"`
+	Steps    []stepRunTime `json:"steps"`
+	Runs     []runView     `json:"runs"`
 	Events   []struct {
 		At   int64  `json:"at"`
 		Text string `json:"text"`
@@ -195,6 +196,7 @@
 				{"accepted", clockTime(e.Accepted)}, {"ended", clockTime(e.Ended)}, {"reason", e.Reason},
 				{"tasks waiting", strconv.Itoa(e.Waiting)}, {"tasks done", strconv.Itoa(e.Done)},
 			}
+			rows = append(rows, runTimeRows(e.Steps)...)
 			for _, run := range e.Runs {
 				rows = append(rows, []string{"runs", fmt.Sprintf("%s#%d on %s since %s", run.ID.Task, run.ID.Run, run.Worker, clockTime(run.Assigned))})
 			}
@@ -217,12 +219,13 @@
 		Used       int64  `json:"used-accelerators"`
 	} `json:"teams"`
 	Workers []struct {
-		Worker         string `json:"worker"`
-		State          string `json:"state"`
-		Pool           string `json:"pool"`
-		Runs           int    `json:"runs"`
-		SinceContactMs int64  `json:"heard-ms-ago"`
-		Misses         int    `json:"misses"`
+		Worker         string  `json:"worker"`
+		State          string  `json:"state"`
+		Pool           string  `json:"pool"`
+		Runs           int     `json:"runs"`
+		SinceContactMs int64   `json:"heard-ms-ago"`
+		Misses         int     `json:"misses"`
+		Pace           float64 `json:"pace"`
 	} `json:"workers"`
 }
 
@@ -255,9 +258,9 @@
 	for _, team := range top.Teams {
 		rows = append(rows, []string{team.Team, strconv.FormatInt(team.Guaranteed, 10), strconv.FormatInt(team.Used, 10)})
 	}
-	rows = append(rows, nil, []string{"WORKER", "STATE", "POOL", "RUNS", "HEARD MS AGO", "MISSES"})
+	rows = append(rows, nil, []string{"WORKER", "STATE", "POOL", "RUNS", "HEARD MS AGO", "MISSES", "PACE"})
 	for _, w := range top.Workers {
-		rows = append(rows, []string{w.Worker, w.State, w.Pool, strconv.Itoa(w.Runs), strconv.FormatInt(w.SinceContactMs, 10), strconv.Itoa(w.Misses)})
+		rows = append(rows, []string{w.Worker, w.State, w.Pool, strconv.Itoa(w.Runs), strconv.FormatInt(w.SinceContactMs, 10), strconv.Itoa(w.Misses), paceText(w.Pace)})
 	}
 	return s.printTable(rows)
 }
--- a/cranberryd/loader/node.go
+++ b/cranberryd/loader/node.go
@@ -102,7 +102,7 @@
 	// none.
 	MachineManager string `json:"machines,omitempty"`
 	// RunTimes says which run times the leader plans with.
-	RunTimes string `json:"run-times" validate:"oneof=declared learned"`
+	RunTimes string      `json:"run-times" validate:"oneof=declared learned"`
 	Bounds   NodeBounds  `json:"bounds"`
 	Control  NodeControl `json:"control"`
 	Log      NodeLog     `json:"log"`
@@ -197,8 +197,8 @@
 func DefaultNode() *NodeSettings {
 	return &NodeSettings{
 		RunTimes: RunTimesDeclared,
-		Bounds:  NodeBounds{Grace: "6s", MaxLease: "6s", DutyLease: "3s"},
-		Control: NodeControl{HeartbeatInterval: "120ms", ElectionTimeout: "700ms", CompactEntries: 2000, ToleratedLosses: 1},
-		Log:     NodeLog{LinesPerSecond: 800},
+		Bounds:   NodeBounds{Grace: "6s", MaxLease: "6s", DutyLease: "3s"},
+		Control:  NodeControl{HeartbeatInterval: "120ms", ElectionTimeout: "700ms", CompactEntries: 2000, ToleratedLosses: 1},
+		Log:      NodeLog{LinesPerSecond: 800},
 	}
 }
--- a/scheduler/state_test.go
+++ b/scheduler/state_test.go
@@ -1,12 +1,15 @@
 package scheduler
 
 import (
+	"bytes"
+	"encoding/json"
 	"errors"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"cranberrystack.dev/cranberrystack/estimator"
 	"cranberrystack.dev/cranberrystack/identifier"
 )
 
@@ -80,7 +83,13 @@
 	if err := restored.Restore(data); err != nil {
 		t.Fatal(err)
 	}
-	if diff := cmp.Diff(p.state, restored, cmp.AllowUnexported(State{}, Job{})); diff != "" {
+	// Only the encoding of an estimator shows what it has learned.
+	estimates := cmp.Comparer(func(a, b *estimator.Estimator) bool {
+		first, _ := json.Marshal(a)
+		second, _ := json.Marshal(b)
+		return bytes.Equal(first, second)
+	})
+	if diff := cmp.Diff(p.state, restored, cmp.AllowUnexported(State{}, Job{}), estimates); diff != "" {
 		t.Errorf("restored state differs:\n%s", diff)
 	}
 }
