estimator: regression for each group and filter for each machine

Groups hold decayed centred sums, machines a Kalman filter of the logarithm of their pace, steps the evidence of their finished tasks.

--- a/estimator/view.go
+++ b/estimator/view.go
@@ -1,6 +1,12 @@
 package estimator
 
-import "time"
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
 
 // Statistics summarizes an estimator.
 type Statistics struct {
@@ -50,10 +56,57 @@
 }
 
 // Statistics returns the size and the errors.
-func (e *Estimator) Statistics() Statistics { return Statistics{} }
+func (e *Estimator) Statistics() Statistics {
+	s := Statistics{
+		Groups: len(e.groups.index), Machines: len(e.machines.index), Steps: len(e.steps.index), Samples: e.samples,
+	}
+	var weight, declared, learned float64
+	for _, g := range e.groups.all() {
+		weight += g.scoreWeight
+		declared += g.scoreWeight * g.declaredError
+		learned += g.scoreWeight * g.learnedError
+	}
+	if weight > 0 {
+		s.DeclaredError, s.LearnedError = math.Sqrt(declared/weight), math.Sqrt(learned/weight)
+	}
+	return s
+}
 
 // Groups lists the groups by queue and image.
-func (e *Estimator) Groups() []GroupView { return nil }
+func (e *Estimator) Groups() []GroupView {
+	views := make([]GroupView, 0, len(e.groups.index))
+	for key, g := range e.groups.all() {
+		views = append(views, g.view(key))
+	}
+	slices.SortFunc(views, func(a, b GroupView) int {
+		return cmp.Or(strings.Compare(a.Queue, b.Queue), strings.Compare(a.Image, b.Image))
+	})
+	return views
+}
+
+func (g *group) view(key Group) GroupView {
+	v := GroupView{
+		Queue: key.Queue, Image: key.Image, Steps: g.weight, Slope: g.slope(),
+		Spread: math.Sqrt(g.variance), TailShare: g.tailShare,
+		DeclaredError: math.Sqrt(g.declaredError), LearnedError: math.Sqrt(g.learnedError), Learned: g.learned(),
+	}
+	if g.declaredWeight > 0 {
+		v.TypicalDeclared = fromLog(g.meanDeclared)
+	}
+	if g.weight > 0 {
+		v.TypicalElapsed = fromLog(g.predict(declaration{log: g.meanDeclared, known: g.declaredWeight > 0}))
+	}
+	return v
+}
 
 // Machines lists the machines by name.
-func (e *Estimator) Machines() []MachineView { return nil }
+func (e *Estimator) Machines() []MachineView {
+	views := make([]MachineView, 0, len(e.machines.index))
+	for name, m := range e.machines.all() {
+		views = append(views, MachineView{
+			Machine: name, Pace: math.Exp(e.machines.relative(m)), Known: m.known(), Runs: int(float64(m.runs) * runUnit),
+		})
+	}
+	slices.SortFunc(views, func(a, b MachineView) int { return strings.Compare(a.Machine, b.Machine) })
+	return views
+}
