--- a/scheduler/estimates.go
+++ b/scheduler/estimates.go
@@ -63,10 +63,31 @@
 		// Another member has given the gang's sample.
 		return
 	}
-	s.estimates.Record(estimator.Sample{
+	sample := estimator.Sample{
 		Group: groupOf(job, step), Step: run.ID.Task.StepID().String(), Machine: worker.machineName(), Declared: step.declared(),
 		Elapsed: time.Duration(now-run.Assigned) * time.Millisecond, Tasks: step.Width, Gang: step.Gang, Ended: done,
-	}, int64(now))
+	}
+	if step.Gang {
+		// One sample stands for the whole gang, which was as slow as its slowest member.
+		sample.Machine, sample.Tasks = s.slowestMachine(run), 1
+	}
+	s.estimates.Record(sample, int64(now))
+}
+
+// slowestMachine returns the machine with the lowest learned pace among those of a
+// gang's members.
+func (s *State) slowestMachine(run *Run) string {
+	slowest, lowest := "", 0.0
+	for _, member := range s.gangMembers(run) {
+		worker := s.workers[member.Worker]
+		if worker == nil {
+			continue
+		}
+		if pace, _ := s.Pace(worker); slowest == "" || pace < lowest {
+			slowest, lowest = worker.machineName(), pace
+		}
+	}
+	return slowest
 }
 
 // comparable reports whether the time that a run takes can be compared with that of
--- a/scheduler/expectation.go
+++ b/scheduler/expectation.go
@@ -153,8 +153,9 @@
 }
 
 const (
-	// unevenPace is by how much a pace must differ from the usual one to count.
-	unevenPace = 0.2
+	// Paces between slowBelow and fastAbove count as usual: a fifth slower or, by the
+	// same ratio, faster. Learned paces vary by about a tenth from run to run.
+	slowBelow, fastAbove = 0.8, 1.25
 	// The paces that count are bounded, so that they add at most 50 to the cost of a
 	// worker, no more than data on another rack does.
 	minPace, maxPace = 0.25, 1.5
@@ -166,7 +167,7 @@
 		return 1
 	}
 	pace, known := t.state.Pace(worker)
-	if !known || pace >= 1-unevenPace && pace <= 1+unevenPace {
+	if !known || pace >= slowBelow && pace <= fastAbove {
 		return 1
 	}
 	return min(max(pace, minPace), maxPace)
--- a/scheduler/pace.go
+++ b/scheduler/pace.go
@@ -107,7 +107,7 @@
 		}
 	}
 	slowest, _ := paceRange(chosen)
-	u.pace = paceRule{active: true, needed: slowest, prefersSlow: true}
+	u.pace = paceRule{active: true, needed: slowest / likePaces, prefersSlow: true}
 	return p.fitTasks(u, candidates, kind)
 }
 
