--- a/scheduler/expectation.go
+++ b/scheduler/expectation.go
@@ -138,18 +138,18 @@
 
 // completionCost is what stopping a run costs in addition to the work that it loses. It
 // grows up to as much again as the run approaches its expected end, since a run that
-// would soon end by itself frees its capacity without any loss.
-func (t *runTimes) completionCost(run *Run, lost float64, wall UnixMilli) float64 {
-	job := t.jobOf(run)
-	if job == nil {
+// would soon end by itself frees its capacity without any loss. pace is that of the
+// run's worker.
+func (t *runTimes) completionCost(job *Job, run *Run, pace float64, wall UnixMilli) float64 {
+	if t == nil || !job.Request.Steps[run.ID.Task.Step].hasRunTime() {
 		return 0
 	}
 	mean := t.of(job, run.ID.Task.Step).mean
-	if mean <= 0 || !job.Request.Steps[run.ID.Task.Step].hasRunTime() {
+	if mean <= 0 {
 		return 0
 	}
 	elapsed := max(0, float64(wall-run.Assigned))
-	return lost * min(1, elapsed*t.paceOfRun(run)/float64(mean))
+	return lostWork(job, run, wall) * min(1, elapsed*pace/float64(mean))
 }
 
 const (
--- a/scheduler/planner.go
+++ b/scheduler/planner.go
@@ -417,13 +417,14 @@
 // first. Urgent and long-running tasks come last.
 func victims(s *State, o *Observer, id identifier.WorkerID, wall UnixMilli) []victim {
 	all := make([]victim, 0, len(s.placed[id]))
+	pace := o.runTimes.pace(s.workers[id])
 	for _, run := range s.placed[id] {
 		job := s.jobs[run.ID.Task.Job]
 		if job == nil || o.Stopping(run) {
 			continue
 		}
 		step, _, _ := job.step(run.ID.Task)
-		all = append(all, victim{run: run, job: job, step: step, demand: step.Demand(), cost: stopCost(o, job, run, wall)})
+		all = append(all, victim{run: run, job: job, step: step, demand: step.Demand(), cost: stopCost(job, run, wall) + o.runTimes.completionCost(job, run, pace, wall)})
 	}
 	slices.SortFunc(all, func(a, b victim) int {
 		switch {
@@ -442,9 +443,8 @@
 const protectedCost = 1e12
 
 // stopCost returns the cost of stopping a run.
-func stopCost(o *Observer, job *Job, run *Run, wall UnixMilli) float64 {
+func stopCost(job *Job, run *Run, wall UnixMilli) float64 {
 	cost := lostWork(job, run, wall)
-	cost += o.runTimes.completionCost(run, cost, wall)
 	if step, _, _ := job.step(run.ID.Task); step.LongRunning || job.Policy.Priority == 0 {
 		cost += protectedCost
 	}
