--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -62,8 +62,9 @@
 	Learned bool
 }
 
-// Estimator holds what was learned. It is not safe for concurrent use. Only Record
-// and UnmarshalJSON change it.
+// Estimator holds what was learned. It must not be copied and is not safe for
+// concurrent use. Only Record and UnmarshalJSON change it. The zero value is an
+// estimator with the default bounds.
 type Estimator struct {
 	options  options
 	groups   table[Group, group]
--- a/estimator/group.go
+++ b/estimator/group.go
@@ -2,7 +2,7 @@
 
 import "math"
 
-// All values are natural logarithms of milliseconds, and weights are in steps.
+// All values in this file are natural logarithms of milliseconds, and weights are in steps.
 const (
 	// groupForget is how much of the regression one step forgets: the half-life is 30
 	// steps. Changes of level are tracked faster than that, see driftGain.
@@ -12,9 +12,9 @@
 	scoreForget = 0.045
 	// tailForget is the same for the tail, which is rare: half-life 140 steps.
 	tailForget = 0.005
-	// declaredWeight is the weight, in steps, of the assumption that the declared
+	// priorWeight is the weight, in steps, of the assumption that the declared
 	// estimate is right on average.
-	declaredWeight = 1.0
+	priorWeight = 1.0
 	// slopeSpread is the expected deviation of the slope from 1.
 	slopeSpread = 0.5
 
@@ -30,10 +30,10 @@
 
 	// maxError bounds the error that one run adds: a factor of 20.
 	maxError = 3.0
-	// initialTailShare has the weight of tailWeight steps, initialTailFactor is that of
-	// a run of the tail.
+	// initialTailShare has the weight of initialTailWeight steps; initialTailFactor is
+	// the logarithm of how much longer a run of the tail takes.
 	initialTailShare  = 0.02
-	tailWeight        = 30.0
+	initialTailWeight = 30.0
 	initialTailFactor = 1.6
 
 	// A group drifts if the decayed mean of its residuals, in standard deviations,
@@ -107,9 +107,9 @@
 	case !d.known:
 		return g.meanWork
 	case g.declaredWeight == 0:
-		return (g.weight*g.meanWork + declaredWeight*d.log) / (g.weight + declaredWeight)
+		return (g.weight*g.meanWork + priorWeight*d.log) / (g.weight + priorWeight)
 	}
-	level := (g.weight*g.meanWork + declaredWeight*g.meanDeclared) / (g.weight + declaredWeight)
+	level := (g.weight*g.meanWork + priorWeight*g.meanDeclared) / (g.weight + priorWeight)
 	return level + g.slope()*g.distance(d.log)
 }
 
@@ -137,7 +137,6 @@
 // declaredSpread is the mean squared error of the declared estimate, near initial
 // while little is known.
 func (g *group) declaredSpread(initial float64) float64 {
-	const initialWeight = 4
 	return min(1, (g.scoreWeight*g.declaredError+initialWeight*initial)/(g.scoreWeight+initialWeight))
 }
 
@@ -168,21 +167,23 @@
 }
 
 // observeTail updates the tail and the variance, unless the group drifts: then the
-// residuals tell about the change alone.
+// residuals tell about the change alone. Residuals beyond a factor of 3 on either side
+// are left out of the variance: a shift of the level would inflate it and thereby hide
+// itself from observeDrift.
 func (g *group) observeTail(residual, weight float64) {
 	if g.drifting() && residual*g.drift > 0 {
 		return
 	}
 	tail := residual > tailLimit
-	if !tail {
-		g.variance += weight / (g.weight + initialWeight) * (square(max(residual, -tailLimit)) - g.variance)
+	if math.Abs(residual) <= tailLimit {
+		g.variance += weight / (g.weight + initialWeight) * (square(residual) - g.variance)
 		g.variance = max(g.variance, minVariance)
 	}
 	if g.steps < minSteps/2 {
 		return
 	}
 	g.tailWeight = g.tailWeight*(1-weight*tailForget) + weight
-	share := weight / (g.tailWeight + tailWeight)
+	share := weight / (g.tailWeight + initialTailWeight)
 	if !tail {
 		g.tailShare -= share * g.tailShare
 		return
@@ -229,7 +230,7 @@
 		return
 	}
 	excess := clamp(work-g.predict(d), 0, tailLimit)
-	g.meanWork += weight / 2 / (g.weight + declaredWeight) * excess
+	g.meanWork += weight / 2 / (g.weight + priorWeight) * excess
 	g.round()
 }
 
--- a/estimator/machine.go
+++ b/estimator/machine.go
@@ -29,8 +29,8 @@
 	outlierLimit = 2.5
 	// maxPace is the largest deviation of a pace from the usual one: a factor of 8.
 	maxPace = 2.08
-	// maxRuns bounds the number of compared runs.
-	maxRuns = 1e5
+	// maxRuns is where the number of compared runs saturates.
+	maxRuns = 1e4
 	// minRuns is the number of compared runs after which a pace is known.
 	minRuns = 3.0
 	// comparedVariance is the variance of a reference up to which a comparison counts as
@@ -52,9 +52,9 @@
 type estimate struct{ mean, variance float64 }
 
 // compare updates the pace after a run whose elapsed time differed by residual from
-// what the reference and the machine's pace made expect. ofStep tells that the reference includes
-// other tasks of the step; steady, that two successive deviations mean that the machine
-// has changed.
+// what the reference and the machine's pace predicted. ofStep says that the reference
+// includes other tasks of the step, and steady that two successive deviations mean a
+// change of the machine, not of the group.
 func (m *machine) compare(residual, referenceVariance float64, ofStep, steady bool) {
 	variance := float64(m.variance)*varianceUnit + paceNoise
 	total := variance + referenceVariance + stepVariance
--- a/estimator/step.go
+++ b/estimator/step.go
@@ -14,6 +14,8 @@
 // paceUnit, and its precision (the inverse of the variance).
 type evidence struct{ mean, precision int32 }
 
+// maxPrecision makes later runs of a wide step count for at least a tenth or so, in
+// case its tasks are not alike after all.
 const maxPrecision = 400
 
 // add returns the evidence of both.
@@ -73,11 +75,11 @@
 }
 
 // stepKey returns the hash by which a step is found, so that its name need not be
-// held.
+// held. It has 53 bits, which all JSON decoders represent exactly.
 func stepKey(g Group, name string) uint64 {
 	key := xxhash.Sum64String(name)
 	key ^= bits.RotateLeft64(xxhash.Sum64String(g.Queue), 21)
-	return key ^ bits.RotateLeft64(xxhash.Sum64String(g.Image), 42)
+	return (key ^ bits.RotateLeft64(xxhash.Sum64String(g.Image), 42)) >> 11
 }
 
 // machineKey returns a hash that is not 0, and 0 for an unknown machine.
