--- a/estimator/group.go
+++ b/estimator/group.go
@@ -18,6 +18,9 @@
 	// slopeSpread is the expected deviation of the slope from 1.
 	slopeSpread = 0.5
 
+	// unclampedSteps is the weight from which on values are clamped. With less, an
+	// absurd first value would determine how far the next ones may be from it.
+	unclampedSteps = 2.0
 	// initialVariance of the residuals has the weight of initialWeight steps.
 	initialVariance = 0.16
 	initialWeight   = 3.0
@@ -93,8 +96,8 @@
 // distance returns how far a declared estimate is from the mean, within bounds, so
 // that one absurd value does not determine the slope.
 func (g *group) distance(declared float64) float64 {
-	if g.declaredWeight < 1 {
-		return clamp(declared-g.meanDeclared, -maxError, maxError)
+	if g.declaredWeight < unclampedSteps {
+		return declared - g.meanDeclared
 	}
 	limit := max(1.5, 3*math.Sqrt(g.sumDeclaredSq/g.declaredWeight))
 	return clamp(declared-g.meanDeclared, -limit, limit)
@@ -148,7 +151,9 @@
 		residual := work - expected
 		g.observeTail(residual, weight)
 		residual = clamp(residual, -tailLimit, tailLimit)
-		work = expected + residual
+		if g.weight >= unclampedSteps {
+			work = expected + residual
+		}
 		g.observeDrift(residual, weight)
 	}
 	g.regress(d, work, weight)
--- a/estimator/learning_test.go
+++ b/estimator/learning_test.go
@@ -125,6 +125,38 @@
 	}
 }
 
+// TestSlopeOfFewSamples guards against a slope from noise: declared estimates that
+// differ little cannot show that they mean nothing.
+func TestSlopeOfFewSamples(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		w := newWorld(seed)
+		w.slope, w.factor, w.declaredSpread, w.spread = 1, 3, 0.05, 0.4
+		if got := w.runSteps(10).Groups()[0].Slope; got < 0.7 {
+			t.Errorf("slope %.2f after 10 steps, want at least 0.7", got)
+		}
+	})
+}
+
+// TestAbsurdDeclared guards against one declared value that outweighs all others in the
+// slope, whether it is the first or comes before a change.
+func TestAbsurdDeclared(t *testing.T) {
+	for _, before := range []int{0, 20} {
+		var slopes []float64
+		for seed := range uint64(20) {
+			w := newWorld(seed)
+			w.slope = 1
+			w.runSteps(before)
+			w.Record(estimator.Sample{Group: group, Declared: 24 * time.Hour, Elapsed: typical, Tasks: 1, Ended: true}, 0)
+			w.slope = 0
+			slopes = append(slopes, w.runSteps(40).Groups()[0].Slope)
+		}
+		slices.Sort(slopes)
+		if got := slopes[len(slopes)*9/10]; got > 0.45 {
+			t.Errorf("after %d steps: slope %.2f 40 steps later, want at most 0.45", before, got)
+		}
+	}
+}
+
 // TestWithoutDeclared guards against an estimate of 0 taken at its word.
 func TestWithoutDeclared(t *testing.T) {
 	e := estimator.New()
@@ -146,6 +178,12 @@
 	if got := e.Expect(group, "", time.Minute); got.Learned {
 		t.Errorf("a declared estimate that was never compared was replaced: %+v", got)
 	}
+	for range 20 {
+		e.Record(estimator.Sample{Group: group, Declared: 3 * typical, Elapsed: typical, Tasks: 1, Ended: true}, 0)
+	}
+	if got := e.Expect(group, "", 3*typical); !got.Learned || got.Median < typical*8/10 || got.Median > typical*12/10 {
+		t.Errorf("with a declared estimate after runs without: %+v, want a median of %v", got, typical)
+	}
 }
 
 // TestFinishedTasksOfTheStep guards against a long step that is taken for a usual one
@@ -211,14 +249,17 @@
 	for _, declared := range values {
 		for _, elapsed := range values {
 			w := newWorld(11)
-			w.width, w.paces = 8, slices.Repeat([]float64{1}, 16)
+			w.slope, w.factor, w.width, w.paces = 1, 3, 8, slices.Repeat([]float64{1}, 16)
 			w.runSteps(60)
-			before := w.Expect(group, "", typical).Median
+			before, slope := w.Expect(group, "", typical).Median, w.Groups()[0].Slope
 			machine := machineName(0)
 			pace, _ := w.Pace(machine)
 			w.Record(estimator.Sample{
 				Group: group, Step: "step-60", Machine: machine, Declared: declared, Elapsed: elapsed, Tasks: -1, Ended: true,
 			}, math.MinInt64)
+			if got := w.Groups()[0].Slope; math.Abs(got-slope) > 0.25 {
+				t.Errorf("declared %v, elapsed %v: slope changed from %.2f to %.2f", declared, elapsed, slope, got)
+			}
 			change := math.Abs(math.Log(float64(w.Expect(group, "", typical).Median) / float64(before)))
 			if !(change < 0.1) {
 				t.Errorf("declared %v, elapsed %v: expectation changed by %.3f", declared, elapsed, change)
--- a/estimator/pace_test.go
+++ b/estimator/pace_test.go
@@ -91,36 +91,60 @@
 	}
 }
 
-// TestPaceUnknown guards against paces from less than three comparisons, and from
-// comparisons of a machine with itself.
+// TestPaceUnknown guards against paces from less than three comparisons.
 func TestPaceUnknown(t *testing.T) {
 	e := estimator.New()
-	record := func(step, machine string, factor float64) {
-		e.Record(estimator.Sample{
-			Group: group, Step: step, Machine: machine, Declared: typical,
-			Elapsed: scaleLog(typical, math.Log(factor)), Tasks: 8, Ended: true,
-		}, 0)
-	}
-	for range 3 {
-		record("alone", "own", 3)
-	}
-	if pace, known := e.Pace("own"); known || pace != 1 {
-		t.Errorf("compared with itself: pace %.2f, known %v", pace, known)
-	}
 	for i, step := range []string{"a", "b", "c", "d"} {
-		if _, known := e.Pace("slow"); known && i < 3 {
-			t.Errorf("known after %d runs", i)
+		if pace, known := e.Pace("slow"); i < 3 && (known || pace != 1) {
+			t.Errorf("after %d runs: pace %.2f, known %v", i, pace, known)
 		}
 		for _, machine := range []string{"x", "y", "z"} {
-			record(step, machine, 1)
+			e.Record(sample(step, machine, 1), 0)
 		}
-		record(step, "slow", 2)
+		e.Record(sample(step, "slow", 2), 0)
 	}
 	if pace, known := e.Pace("slow"); !known || pace > 0.8 {
 		t.Errorf("after four runs at twice the time: pace %.2f, known %v", pace, known)
 	}
 }
 
+// sample is a finished run of a wide step, at a multiple of the declared time.
+func sample(step, machine string, factor float64) estimator.Sample {
+	return estimator.Sample{
+		Group: group, Step: step, Machine: machine, Declared: typical,
+		Elapsed: scaleLog(typical, math.Log(factor)), Tasks: 8, Ended: true,
+	}
+}
+
+// TestWholeStepsOnOneMachine guards against the comparison of a machine with itself: a
+// slow machine that runs all tasks of its steps would have the usual pace.
+func TestWholeStepsOnOneMachine(t *testing.T) {
+	w := newWorld(4)
+	w.slope, w.width, w.paces = 1, 4, slices.Repeat([]float64{1}, 8)
+	w.runSteps(60)
+	for range 16 {
+		w.Record(sample("a", "own", 2), 0)
+	}
+	if pace, known := w.Pace("own"); !known || pace > 0.6 {
+		t.Errorf("pace %.2f, known %v, want about 0.5", pace, known)
+	}
+}
+
+// TestLongLoneTask guards against machines that count as slow since they ran one of the
+// long steps.
+func TestLongLoneTask(t *testing.T) {
+	w := newWorld(6)
+	w.slope, w.paces = 1, []float64{1, 1}
+	w.runSteps(60)
+	w.Record(sample("long", "new", 7), 0)
+	for i, step := range []string{"a", "b", "c"} {
+		w.Record(sample(step, "new", 1), int64(i))
+	}
+	if pace, known := w.Pace("new"); !known || pace < 0.9 {
+		t.Errorf("pace %.2f, known %v, want about 1", pace, known)
+	}
+}
+
 // TestGangs guards against gangs whose slow member makes all members slow, or makes
 // the group's tasks long.
 func TestGangs(t *testing.T) {
