--- a/coordinator/cluster_test.go
+++ b/coordinator/cluster_test.go
@@ -58,6 +58,8 @@
 	heldPolls int
 	// jobMemory is the option of that name; 0 means the default.
 	jobMemory int64
+	// learnRunTimes makes the instances plan with learned run times.
+	learnRunTimes bool
 	// forwardedReports counts the reports that one instance forwarded to another.
 	forwardedReports atomic.Int64
 	startedAt        time.Time
--- a/coordinator/host_test.go
+++ b/coordinator/host_test.go
@@ -40,7 +40,7 @@
 		Transport: replicator.Transport{Send: h.send, Formation: h.formation},
 		Announce:  h.announce, PassOn: h.passOn, Orders: c.orders(h.name), Advise: c.advise, MachineManager: c.machines,
 		Recorder: recorder.New(), Logger: log.With(log.NewLogfmtLogger(log.NewSyncWriter(&lockedWriter{c: c})), "at", log.Valuer(func() any { return time.Since(c.startedAt).Milliseconds() }), "host", h.name),
-	}, coordinator.HeldPolls(c.heldPolls), coordinator.JobMemory(cmp.Or(c.jobMemory, coordinator.DefaultJobMemory)), coordinator.LogOptions(
+	}, coordinator.HeldPolls(c.heldPolls), coordinator.LearnRunTimes(c.learnRunTimes), coordinator.JobMemory(cmp.Or(c.jobMemory, coordinator.DefaultJobMemory)), coordinator.LogOptions(
 		replicator.HeartbeatInterval(120*time.Millisecond), replicator.ElectionTimeout(700*time.Millisecond),
 		replicator.CompactEntries(60), replicator.JournalOptions(journaler.WithFileOperations(files)),
 		replicator.RandomSeed(uint64(len(h.name)+h.starts)*7919+uint64(h.name[len(h.name)-1])),
--- a/cranberryd/node/node_test.go
+++ b/cranberryd/node/node_test.go
@@ -139,6 +139,8 @@
 		{"no data folder", strings.Replace(valid, `"/d"`, `""`, 1), "data-folder"},
 		{"bad address", strings.Replace(valid, `"h:7000"`, `"h"`, 1), "address"},
 		{"unknown key", strings.Replace(valid, `"role"`, `"rolle"`, 1), "rolle"},
+		{"learned run times", strings.Replace(valid, `"bootstrap"`, `"run-times":"learned","bootstrap"`, 1), ""},
+		{"unknown run times", strings.Replace(valid, `"bootstrap"`, `"run-times":"guessed","bootstrap"`, 1), "run-times"},
 		{"bad time", strings.Replace(valid, `"bootstrap"`, `"bounds":{"grace":"6"},"bootstrap"`, 1), "grace"},
 	}
 	for _, test := range tests {
@@ -161,6 +163,7 @@
 		{"bootstrap", `"bootstrap":true`, `"bootstrap":false`, "", ""},
 		{"address", `"h:7000"`, `"h:7001"`, "", "address"},
 		{"metrics and advice addresses", `"metrics":"h:9464"`, `"advice":"a:1"`, "", "advice,metrics"},
+		{"run times", `"bootstrap"`, `"run-times":"learned","bootstrap"`, "", "run-times"},
 		{"replicated log", `"bootstrap"`, `"control":{"tolerated-losses":2},"bootstrap"`, "", "control"},
 	}
 	for _, test := range tests {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -56,7 +56,8 @@
 	SpeculativeCopies bool `json:"copies,omitempty"`
 	// LongRunning says that the tasks run until the job is cancelled.
 	LongRunning bool `json:"long-running,omitempty"`
-	// Image is accepted but not used.
+	// Image names the program that the tasks run. It tells which run times are learned
+	// together and is not used otherwise.
 	Image string `json:"image,omitempty"`
 	// TargetMillis is the target for the tail response time of tasks that
 	// serve requests; 0 for other tasks.
