scheduler: learn run times from observed progress too

Change: the leader adds the time for the whole task, by the rate of its progress, to the end that it records; the state learns from it for gang members, runs that were cut short and runs that resumed.

--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -262,6 +262,7 @@
 // with the observer. The caller holds mu.
 func (c *Coordinator) unrecordedEnds(lead *leadership, worker *scheduler.Worker, poll *scheduler.PollResult, now time.Time) *scheduler.RecordEnds {
 	var ends *scheduler.RecordEnds
+	observation := lead.observer.Observation(worker.ID)
 	for _, end := range poll.Ended {
 		if end.Number <= worker.Acked {
 			continue
@@ -270,6 +271,7 @@
 			ends = &scheduler.RecordEnds{Worker: worker.ID, Incarnation: poll.Incarnation}
 		}
 		ends.Number = max(ends.Number, end.Number)
+		end.FullMillis = observation.FullMillis(end.Run)
 		ends.Ends = append(ends.Ends, end)
 		run := c.state.Run(end.Run)
 		c.runEvent("run-ended", end.Run, worker.ID, fmt.Sprintf("/%d", end.Number), "kind", end.Kind, "known", run != nil)
--- a/scheduler/apply.go
+++ b/scheduler/apply.go
@@ -194,7 +194,7 @@
 	if run.Worker != record.Worker {
 		return nil
 	}
-	s.recordRunTime(run, end.Kind, now)
+	s.recordRunTime(run, end, now)
 	s.removeRun(run)
 	job := s.jobs[end.Run.Task.Job]
 	if job == nil || !job.Active() {
--- a/scheduler/estimates.go
+++ b/scheduler/estimates.go
@@ -46,30 +46,33 @@
 // recordRunTime gives the end of a run to the estimator. It must be called before the
 // run is removed and its task is marked as done. What the estimator learns never
 // affects the outcome of a command.
-func (s *State) recordRunTime(run *Run, kind EndKind, now UnixMilli) {
+//
+// The rate of a run's progress tells how long its task takes on its worker even if the
+// run was cut short, resumed from a checkpoint, or was in a gang, whose members report
+// their own progress and end together.
+func (s *State) recordRunTime(run *Run, end *End, now UnixMilli) {
 	job, worker := s.jobs[run.ID.Task.Job], s.workers[run.Worker]
 	if job == nil || worker == nil || now <= run.Assigned {
 		return
 	}
-	step, state, task := job.step(run.ID.Task)
+	step, _, task := job.step(run.ID.Task)
 	if step == nil || !s.comparable(run, step, worker) {
 		return
 	}
-	done := kind == EndDone
-	switch {
-	case !done && kind != EndStopped && kind != EndFailed && kind != EndLeaseExpired:
-		return
-	case step.Gang && done && task.Done, step.Gang && !done && state.LiveRuns < step.Width:
-		// Another member has given the gang's sample.
-		return
-	}
 	sample := estimator.Sample{
 		Group: groupOf(job, step), Step: run.ID.Task.StepID().String(), Machine: worker.machineName(), Declared: step.declared(),
-		Elapsed: time.Duration(now-run.Assigned) * time.Millisecond, Tasks: step.Width, Gang: step.Gang, Ended: done,
+		Elapsed: time.Duration(now-run.Assigned) * time.Millisecond, Tasks: step.Width, Ended: end.Kind == EndDone,
 	}
-	if step.Gang {
-		// One sample stands for the whole gang, which was as slow as its slowest member.
-		sample.Machine, sample.Tasks = s.slowestMachine(run), 1
+	switch {
+	case end.FullMillis > 0 && (step.Gang || end.Kind != EndDone || run.Checkpoint != ""):
+		sample.Elapsed, sample.Ended = time.Duration(end.FullMillis)*time.Millisecond, true
+	case run.Checkpoint != "" || end.Kind == EndGangBroken || end.Kind == EndGangTimeout:
+		return
+	case step.Gang && (task.Done || !sample.Ended):
+		// The first member that is done stands for the gang.
+		return
+	case step.Gang:
+		sample.Machine, sample.Tasks, sample.Gang = s.slowestMachine(run), 1, true
 	}
 	s.estimates.Record(sample, int64(now))
 }
@@ -91,11 +94,11 @@
 }
 
 // comparable reports whether the time that a run takes can be compared with that of
-// other runs of its group: it did not resume from a checkpoint and is neither far from
-// its data nor in a gang that spans racks, where it takes up to three times as long.
+// other runs of its group: it is neither far from its data nor in a gang that spans
+// racks, where it takes up to three times as long.
 func (s *State) comparable(run *Run, step *Step, worker *Worker) bool {
 	rack := worker.Rack()
-	if !step.hasRunTime() || run.Checkpoint != "" || step.DataRack != "" && step.DataRack != rack {
+	if !step.hasRunTime() || step.DataRack != "" && step.DataRack != rack {
 		return false
 	}
 	if !step.Gang || !step.SameRack {
--- a/scheduler/observer.go
+++ b/scheduler/observer.go
@@ -28,6 +28,9 @@
 	ReportedAt  time.Time
 	// AdvancedAt is when Percent or Checkpoint last changed.
 	AdvancedAt time.Time
+	// since and sinceAt are the first progress above 0 that was reported, and when.
+	since   int
+	sinceAt time.Time
 }
 
 // WorkerObservation is what the leader has observed of one incarnation of a
@@ -192,9 +195,14 @@
 	progress := Progress{
 		Percent: running.Percent, Measurement: running.Measurement, Checkpoint: running.Checkpoint, ReportedAt: now, AdvancedAt: now,
 	}
-	if last, known := w.Progress[running.Run]; known && last.Percent == progress.Percent && last.Checkpoint == progress.Checkpoint {
+	last, known := w.Progress[running.Run]
+	if known && last.Percent == progress.Percent && last.Checkpoint == progress.Checkpoint {
 		progress.AdvancedAt = last.AdvancedAt
 	}
+	progress.since, progress.sinceAt = last.since, last.sinceAt
+	if last.since == 0 {
+		progress.since, progress.sinceAt = progress.Percent, now
+	}
 	w.Progress[running.Run] = progress
 	w.updatePossibleStall(running.Run, progress)
 }
@@ -208,6 +216,30 @@
 	return w.Progress[id].Checkpoint
 }
 
+const (
+	// minRatePercents and minRateTime are the least progress, in percent, and the least
+	// time between two reports from which a rate follows: progress is reported in whole
+	// percents, and a report is up to some tens of milliseconds late.
+	minRatePercents = 10
+	minRateTime     = 400 * time.Millisecond
+)
+
+// FullMillis returns how long the whole task of a run would take on the worker at the
+// rate of its progress so far, in milliseconds, or 0 if it can't be told. A member of a
+// gang reports its own progress, so that this tells the pace of its own worker. The
+// receiver may be nil.
+func (w *WorkerObservation) FullMillis(id RunID) int64 {
+	if w == nil {
+		return 0
+	}
+	progress := w.Progress[id]
+	percents, passed := progress.Percent-progress.since, progress.AdvancedAt.Sub(progress.sinceAt)
+	if percents < minRatePercents || passed < minRateTime || progress.Percent >= 100 {
+		return 0
+	}
+	return passed.Milliseconds() * 100 / int64(percents)
+}
+
 // HasClock reports whether the worker's clock is known.
 func (w *WorkerObservation) HasClock() bool { return w.clockKnown }
 
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -144,4 +144,7 @@
 	Run        RunID   `json:"run"`
 	Kind       EndKind `json:"how"`
 	Checkpoint string  `json:"checkpoint,omitempty"`
+	// FullMillis is how long the whole task would have taken on this worker at the rate
+	// of the progress that the leader observed, in milliseconds; 0 if it is unknown.
+	FullMillis int64 `json:"full-ms,omitempty"`
 }
