scheduler: give the sample of a gang at its first end alone

Checking the racks of a gang at each member's end took time with the square of its width. Elapsed times are bounded before they become durations, and the call estimates is encoded without holding the coordinator's lock.

--- a/coordinator/estimates.go
+++ b/coordinator/estimates.go
@@ -20,11 +20,12 @@
 // estimates returns what was learned from the ends of runs.
 func (c *Coordinator) estimates() forwarder.Answer {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	learned := c.state.Estimates()
-	return documentAnswer(estimatesBody{
+	body := estimatesBody{
 		InUse: c.options.learnRunTimes, Statistics: learned.Statistics(), Groups: learned.Groups(), Machines: learned.Machines(),
-	})
+	}
+	c.mu.Unlock()
+	return documentAnswer(body)
 }
 
 // stepRunTime compares the declared and the expected run time of a step's tasks.
--- a/scheduler/estimates.go
+++ b/scheduler/estimates.go
@@ -44,28 +44,26 @@
 func (s *Step) hasRunTime() bool { return !s.LongRunning && !s.BestEffort }
 
 // recordRunTime gives the end of a run to the estimator. It must be called before the
-// run is removed and its task is marked as done. What the estimator learns never
-// affects the outcome of a command.
+// run is removed. What the estimator learns never affects the outcome of a command.
 func (s *State) recordRunTime(run *Run, kind EndKind, now UnixMilli) {
 	job, worker := s.jobs[run.ID.Task.Job], s.workers[run.Worker]
 	if job == nil || worker == nil || now <= run.Assigned {
 		return
 	}
-	step, state, task := job.step(run.ID.Task)
-	if step == nil || !s.comparable(run, step, worker) {
-		return
-	}
+	step, state, _ := job.step(run.ID.Task)
 	done := kind == EndDone
 	switch {
 	case !done && kind != EndStopped && kind != EndFailed && kind != EndLeaseExpired:
 		return
-	case step.Gang && done && task.Done, step.Gang && !done && state.LiveRuns < step.Width:
-		// Another member has given the gang's sample.
+	case step == nil, step.Gang && state.LiveRuns < step.Width:
+		// The first member of a gang to end has given the gang's sample.
+		return
+	case !s.comparable(run, step, worker):
 		return
 	}
 	sample := estimator.Sample{
 		Group: groupOf(job, step), Step: run.ID.Task.StepID().String(), Machine: worker.machineName(), Declared: step.declared(),
-		Elapsed: time.Duration(now-run.Assigned) * time.Millisecond, Tasks: step.Width, Gang: step.Gang, Ended: done,
+		Elapsed: time.Duration(min(now-run.Assigned, maxAmount)) * time.Millisecond, Tasks: step.Width, Gang: step.Gang, Ended: done,
 	}
 	if step.Gang {
 		// One sample stands for the whole gang, which was as slow as its slowest member.
