--- a/scheduler/estimates_test.go
+++ b/scheduler/estimates_test.go
@@ -358,3 +358,40 @@
 	SortRuns(runs)
 	return runs
 }
+
+// A run on a slow worker must neither count as stalled nor be expected to end before
+// its worker leaves as if the worker were fast and the declared estimate were right.
+func TestRunsOnSlowWorkersAreGivenTime(t *testing.T) {
+	tests := []struct {
+		learned        bool
+		remaining      int64
+		mayStand       time.Duration
+		stopsForLeaver bool
+	}{
+		{false, 1000, 3 * time.Second, false},
+		// A minute at a pace of 0.75 or less; after twelve runs it is not exact.
+		{true, 79_000, 6400 * time.Millisecond, true},
+	}
+	for _, test := range tests {
+		p := newPool(t, 16)
+		p.planner.LearnedRunTimes = test.learned
+		p.learnPaces("plan", map[string]time.Duration{"a": time.Minute})
+		job := p.submit(1, "plan", imageStep(16, 8, "a"))
+		p.plan()
+		p.now = p.now.Add(time.Second)
+		for _, run := range p.state.RunsOfJob(job) {
+			step := p.state.StepOf(run.ID.Task)
+			if truePace(run.Worker) > 1 {
+				continue
+			}
+			remaining := remainingMillis(step, run, p.observer, p.wall())
+			if limit := p.observer.stallLimit(step, run, Progress{}, p.wall()); remaining < test.remaining || limit < test.mayStand {
+				t.Errorf("learned %t: %d ms remain, may make no progress for %v, want at least %+v", test.learned, remaining, limit, test)
+			}
+			worker := &Worker{DrainMillis: 10_000, DrainingSince: p.wall()}
+			if got := outlastsDrain(step, worker, run, p.observer, p.wall()); got != test.stopsForLeaver {
+				t.Errorf("learned %t: outlasts its worker: %t, want %t", test.learned, got, test.stopsForLeaver)
+			}
+		}
+	}
+}
