--- a/coordinator/calls.go
+++ b/coordinator/calls.go
@@ -65,6 +65,12 @@
 		return c.overview()
 	case forwarder.KindEstimates:
 		return c.estimates()
+	case forwarder.KindEmptyDataCenter:
+		return c.orderDataCenter(ctx, call, true)
+	case forwarder.KindReturnDataCenter:
+		return c.orderDataCenter(ctx, call, false)
+	case forwarder.KindDataCenters:
+		return c.listDataCenters()
 	}
 	return problemAnswer(responder.CodeInvalid, "unknown kind of call")
 }
--- a/coordinator/meter.go
+++ b/coordinator/meter.go
@@ -34,6 +34,11 @@
 	// on any instance but the leader.
 	UnresponsiveWorkers int `json:"silent-workers"`
 	DrainingWorkers     int `json:"draining-workers"`
+	// DataCenters holds all data centres that are known here.
+	DataCenters []DataCenterView `json:"data-centers"`
+	// UnkeptGuarantees holds the teams whose guarantee does not fit into the capacity
+	// that is left.
+	UnkeptGuarantees []identifier.TeamID `json:"unkept-guarantees,omitempty"`
 }
 
 // Metrics returns the current metrics.
@@ -44,7 +49,8 @@
 	defer c.mu.Unlock()
 	metrics := Metrics{
 		Leader: status.Leader, Members: status.Members, HoldsLeaderLease: status.HoldsLeaderLease, Term: uint64(view.Term), Commit: view.Commit,
-		Statistics: c.state.Statistics(), Queues: c.queueMetrics(), Estimates: c.state.Estimates().Statistics(), WaitingProposals: len(c.queue),
+		Statistics: c.state.Statistics(), Queues: c.queueMetrics(), WaitingProposals: len(c.queue),
+		Estimates: c.state.Estimates().Statistics(), DataCenters: c.dataCenterViews(), UnkeptGuarantees: c.unkeptGuarantees(),
 	}
 	if !c.catalogSince.IsZero() {
 		metrics.CatalogAgeMillis = time.Since(c.catalogSince).Milliseconds()
--- a/scheduler/estimates.go
+++ b/scheduler/estimates.go
@@ -44,8 +44,7 @@
 func (s *Step) hasRunTime() bool { return !s.LongRunning && !s.BestEffort }
 
 // recordRunTime gives the end of a run to the estimator. It must be called before the
-// run is removed and its task is marked as done. What the estimator learns never
-// affects the outcome of a command.
+// run is removed. What the estimator learns never affects the outcome of a command.
 //
 // The rate of a run's progress tells how long its task takes on its worker even if the
 // run was cut short, resumed from a checkpoint, or was in a gang, whose members report
@@ -55,21 +54,21 @@
 	if job == nil || worker == nil || now <= run.Assigned {
 		return
 	}
-	step, _, task := job.step(run.ID.Task)
+	step, state, _ := job.step(run.ID.Task)
 	if step == nil || !s.comparable(run, step, worker) {
 		return
 	}
 	sample := estimator.Sample{
 		Group: groupOf(job, step), Step: run.ID.Task.StepID().String(), Machine: worker.machineName(), Declared: step.declared(),
-		Elapsed: time.Duration(now-run.Assigned) * time.Millisecond, Tasks: step.Width, Ended: end.Kind == EndDone,
+		Elapsed: time.Duration(min(now-run.Assigned, maxAmount)) * time.Millisecond, Tasks: step.Width, Ended: end.Kind == EndDone,
 	}
 	switch {
 	case end.FullMillis > 0 && (step.Gang || end.Kind != EndDone || run.Checkpoint != ""):
-		sample.Elapsed, sample.Ended = time.Duration(end.FullMillis)*time.Millisecond, true
+		sample.Elapsed, sample.Ended = time.Duration(min(end.FullMillis, maxAmount))*time.Millisecond, true
 	case run.Checkpoint != "" || end.Kind == EndGangBroken || end.Kind == EndGangTimeout:
 		return
-	case step.Gang && (task.Done || !sample.Ended):
-		// The first member that is done stands for the gang.
+	case step.Gang && state.LiveRuns < step.Width:
+		// The first member of a gang to end has given the gang's sample.
 		return
 	case step.Gang:
 		sample.Machine, sample.Tasks, sample.Gang = s.slowestMachine(run), 1, true
