--- a/coordinator/calls.go
+++ b/coordinator/calls.go
@@ -63,6 +63,8 @@
 		return c.explain(call)
 	case forwarder.KindOverview:
 		return c.overview()
+	case forwarder.KindEstimates:
+		return c.estimates()
 	case forwarder.KindEmptyDataCenter:
 		return c.orderDataCenter(ctx, call, true)
 	case forwarder.KindReturnDataCenter:
--- a/coordinator/cluster_test.go
+++ b/coordinator/cluster_test.go
@@ -60,6 +60,8 @@
 	jobMemory int64
 	// fairShare is the option of that name.
 	fairShare bool
+	// learnRunTimes makes the instances plan with learned run times.
+	learnRunTimes bool
 	// dataCenterOf returns the data centre of a worker; nil means that all are in "dc".
 	dataCenterOf func(identifier.WorkerID) identifier.DataCenterID
 	// dataCenters is the option of that name.
--- a/cranberryd/node/node_test.go
+++ b/cranberryd/node/node_test.go
@@ -144,6 +144,8 @@
 		{"unknown key", strings.Replace(valid, `"role"`, `"rolle"`, 1), "rolle"},
 		{"unknown sharing", strings.Replace(valid, `"bootstrap"`, `"sharing":"some","bootstrap"`, 1), "sharing"},
 		{"sharing", strings.Replace(valid, `"bootstrap"`, `"sharing":"fair","bootstrap"`, 1), ""},
+		{"learned run times", strings.Replace(valid, `"bootstrap"`, `"run-times":"learned","bootstrap"`, 1), ""},
+		{"unknown run times", strings.Replace(valid, `"bootstrap"`, `"run-times":"guessed","bootstrap"`, 1), "run-times"},
 		{"data centre without a name", strings.Replace(valid, `["z0"]`, `["z0",""]`, 1), "data-centers"},
 		{"bad time", strings.Replace(valid, `"bootstrap"`, `"bounds":{"grace":"6"},"bootstrap"`, 1), "grace"},
 	}
@@ -167,6 +169,7 @@
 		{"bootstrap", `"bootstrap":true`, `"bootstrap":false`, "", ""},
 		{"address", `"h:7000"`, `"h:7001"`, "", "address"},
 		{"metrics and advice addresses", `"metrics":"h:9464"`, `"advice":"a:1"`, "", "advice,metrics"},
+		{"run times", `"bootstrap"`, `"run-times":"learned","bootstrap"`, "", "run-times"},
 		{"data centres", `["z0"]`, `["z0","z1"]`, "", "data-centers"},
 		{"replicated log", `"bootstrap"`, `"control":{"tolerated-losses":2},"bootstrap"`, "", "control"},
 	}
--- a/scheduler/mover.go
+++ b/scheduler/mover.go
@@ -203,6 +203,7 @@
 				u.addTask(run.ID.Task.Index)
 			}
 		}
+		p.observer.runTimes.expectPath(u.job)
 		u.setRank(p.wall)
 		sorted = append(sorted, u)
 	}
@@ -237,7 +238,7 @@
 // move books free room for the runs of a unit and returns the stops of those that
 // have some. The runs of a gang get room for the whole gang or none.
 func (m *mover) move(p *placementPass, u *unit) []Stop {
-	u.rackWaitOver = p.rackWaitOver(u)
+	u.rackWaitOver, u.pace = p.rackWaitOver(u), p.paceRule(u)
 	stops := p.moveRuns(u)
 	for _, stop := range stops {
 		m.ordered[stop.Run] = true
--- a/scheduler/planner.go
+++ b/scheduler/planner.go
@@ -61,6 +61,9 @@
 	// FairShare says that the jobs of all queues take part in the sharing between
 	// teams. Otherwise only those of queues that ask for it do.
 	FairShare bool
+	// LearnedRunTimes says that learned run times and paces of workers are used
+	// instead of the declared estimates.
+	LearnedRunTimes bool
 
 	waitingSince map[StepID]time.Time
 	// fruitless holds when runs to preempt for a step were last searched in vain, for
@@ -105,6 +108,8 @@
 	// rackWaitOver says that the unit no longer waits for its preferred rack. It is
 	// set when the unit is placed.
 	rackWaitOver bool
+	// pace is how the pace of a worker counts. It is set when the unit is placed.
+	pace paceRule
 	// searchedInVain says that runs to preempt for the unit were searched a short
 	// time ago, and none were found.
 	searchedInVain bool
@@ -136,6 +141,7 @@
 // that it finds; the caller records the stops that it orders.
 func (p *Planner) Plan(s *State, o *Observer, now time.Time, wall UnixMilli) Plan {
 	var plan Plan
+	o.runTimes = p.runTimes(s, now)
 	plan.Stop = requiredStops(s, o, wall)
 	pass := newPlacementPass(s, o, now, wall)
 	for _, stop := range plan.Stop {
@@ -144,7 +150,7 @@
 			o.RecordStall(s.runs[stop.Run], now)
 		}
 	}
-	units := p.waitingUnits(s, now, wall)
+	units := p.waitingUnits(s, o.runTimes, now, wall)
 	plan.Waiting = len(units)
 	units = pass.usage.rankGuaranteed(units)
 	pass.acceleratorReserve = p.updateReserve(s, units, pass, now)
@@ -173,6 +179,14 @@
 	return plan
 }
 
+// runTimes returns the run times that a pass uses, nil for the declared ones.
+func (p *Planner) runTimes(s *State, now time.Time) *runTimes {
+	if !p.LearnedRunTimes {
+		return nil
+	}
+	return &runTimes{state: s, now: now}
+}
+
 // searchPause is how long no runs to preempt are searched for a step after a search
 // in vain, so that steps behind it get their turn.
 const searchPause = 300 * time.Millisecond
@@ -216,7 +230,7 @@
 }
 
 // waitingUnits returns the units that are ready to start, most urgent first.
-func (p *Planner) waitingUnits(s *State, now time.Time, wall UnixMilli) []*unit {
+func (p *Planner) waitingUnits(s *State, times *runTimes, now time.Time, wall UnixMilli) []*unit {
 	var units []*unit
 	maps.DeleteFunc(p.fruitless, func(_ StepID, at time.Time) bool { return now.Sub(at) >= searchPause })
 	waitingSince := map[StepID]time.Time{}
@@ -239,6 +253,7 @@
 				waitingSince[u.id()] = since
 				u.waited = now.Sub(since)
 				_, u.searchedInVain = p.fruitless[u.id()]
+				times.expectPath(job)
 				u.setRank(wall)
 				u.contender = contest.contenderOf(job)
 				units = append(units, u)
@@ -313,7 +328,7 @@
 		u.mayPreempt = false
 	}
 	objective := u.job.objectiveTime(u.occurrence)
-	u.latestStart = objective - UnixMilli(u.job.criticalPathMillis)
+	u.latestStart = objective - UnixMilli(u.job.pathMillis())
 	span := objective - u.job.Occurrences[u.occurrence].Due
 	const lateFactor = 3
 	if !u.mayPreempt && wall > objective+(lateFactor-1)*span {
@@ -396,7 +411,7 @@
 
 // remainingMillis estimates how long a run still takes, in milliseconds. It
 // extrapolates from a progress of more than 5 percent. Without one, it uses the
-// step's estimate, of which at least a quarter is assumed to remain.
+// expected run time, of which at least a quarter is assumed to remain.
 func remainingMillis(step *Step, run *Run, o *Observer, wall UnixMilli) int64 {
 	elapsed := int64(wall - run.Assigned)
 	if observation := o.Observation(run.Worker); observation != nil {
@@ -404,7 +419,8 @@
 			return elapsed * int64(100-progress.Percent) / int64(progress.Percent)
 		}
 	}
-	return max(step.EstimateMillis-elapsed, step.EstimateMillis/4)
+	expected := o.runTimes.runMillis(step, run)
+	return max(expected-elapsed, expected/4)
 }
 
 // lostWork returns how much work is lost by stopping a run, in
@@ -436,13 +452,14 @@
 // first. Urgent and long-running tasks come last.
 func victims(s *State, o *Observer, id identifier.WorkerID, wall UnixMilli) []victim {
 	all := make([]victim, 0, len(s.placed[id]))
+	pace := o.runTimes.pace(s.workers[id])
 	for _, run := range s.placed[id] {
 		job := s.jobs[run.ID.Task.Job]
 		if job == nil || o.Stopping(run) {
 			continue
 		}
 		step, _, _ := job.step(run.ID.Task)
-		all = append(all, victim{run: run, job: job, step: step, demand: step.Demand(), cost: stopCost(job, run, wall)})
+		all = append(all, victim{run: run, job: job, step: step, demand: step.Demand(), cost: stopCost(job, run, wall) + o.runTimes.completionCost(job, run, pace, wall)})
 	}
 	slices.SortFunc(all, func(a, b victim) int {
 		switch {
--- a/scheduler/shares_test.go
+++ b/scheduler/shares_test.go
@@ -136,7 +136,7 @@
 	}
 	p.plan()
 	p.planner.FairShare = all
-	return p.planner.waitingUnits(p.state, p.now, p.wall()), p
+	return p.planner.waitingUnits(p.state, nil, p.now, p.wall()), p
 }
 
 // Guards against any change of plans where nothing asks for sharing: the order must be
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sort"
 
+	"cranberrystack.dev/cranberrystack/estimator"
 	"cranberrystack.dev/cranberrystack/identifier"
 	"cranberrystack.dev/cranberrystack/sharer"
 )
@@ -28,6 +29,8 @@
 	lease    leaderLease
 	// shares holds what the teams hold and have recently held. Apply never reads it.
 	shares *sharer.Sharer
+	// estimates is learned from the ends of runs. It never affects an Outcome.
+	estimates *estimator.Estimator
 
 	// The fields below are derived from those above.
 
@@ -49,6 +52,7 @@
 
 		dataCenters: map[identifier.DataCenterID]DataCenterState{},
 		shares:      newSharer(),
+		estimates:   estimator.New(),
 
 		active: map[identifier.JobID]*Job{},
 		placed: map[identifier.WorkerID]map[RunID]*Run{},
@@ -69,11 +73,15 @@
 	Lease    leaderLease `json:"lease,omitzero"`
 	// Shares is absent in snapshots of versions without shares of teams.
 	Shares json.RawMessage `json:"team-shares,omitempty"`
+	// Estimates is absent in snapshots of versions that did not learn run times.
+	Estimates json.RawMessage `json:"estimates,omitempty"`
 }
 
 // Snapshot encodes the state.
 func (s *State) Snapshot() ([]byte, error) {
-	stored := storedState{Document: s.document, PrunedAt: s.prunedAt, Lease: s.lease, DataCenters: s.DataCenters()}
+	stored := storedState{
+		Document: s.document, PrunedAt: s.prunedAt, Lease: s.lease, DataCenters: s.DataCenters(), Estimates: s.storeEstimates(),
+	}
 	for _, job := range s.jobs {
 		stored.Jobs = append(stored.Jobs, job)
 	}
@@ -107,6 +115,7 @@
 	}
 	fresh := NewState()
 	fresh.prunedAt, fresh.lease = stored.PrunedAt, stored.Lease
+	fresh.estimates = restoreEstimates(stored.Estimates)
 	if len(stored.Document) > 0 {
 		catalog, err := restoreCatalog(stored.Document)
 		if err != nil {
