--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -368,6 +368,7 @@
 	}
 	c.lead.planner.FairShare = c.options.fairShare
 	c.lead.planner.LearnedRunTimes = c.options.learnRunTimes
+	c.lead.planner.StopTime = c.options.stopTime
 	c.lead.observer.EarlierLease = c.state.EarlierLease(c.options.maxLease)
 	statistics := c.state.Statistics()
 	c.event("leadership-acquired", "term", view.Term, "commit", view.Commit, "catalog-version", statistics.CatalogVersion,
--- a/coordinator/options.go
+++ b/coordinator/options.go
@@ -56,6 +56,7 @@
 	dutyLease      time.Duration
 	fairShare      bool
 	learnRunTimes  bool
+	stopTime       time.Duration
 	tick           time.Duration
 	idleTick       time.Duration
 	clock          func() time.Duration
@@ -110,6 +111,13 @@
 	return func(o *options) { o.learnRunTimes = learned }
 }
 
+// StopTime sets the longest time that a worker takes to stop a run; 0 if it is unknown.
+// If it is long compared with the slack of urgent work, all other work leaves a reserve
+// free for it.
+func StopTime(limit time.Duration) Option {
+	return func(o *options) { o.stopTime = limit }
+}
+
 // Clock sets the clock that leader leases are measured with. It must advance
 // while the instance is suspended.
 func Clock(clock func() time.Duration) Option {
--- a/cranberryd/loader/node.go
+++ b/cranberryd/loader/node.go
@@ -57,6 +57,9 @@
 	// DutyLease is how long a new leader leaves orders about machines to the
 	// previous one.
 	DutyLease Duration `json:"duty-lease" validate:"time"`
+	// StopTime is the longest time that a worker takes to stop a run; empty if it is
+	// unknown.
+	StopTime Duration `json:"stop-time,omitempty" validate:"omitempty,time"`
 }
 
 // NodeLog configures the event log.
--- a/scheduler/pass.go
+++ b/scheduler/pass.go
@@ -79,22 +79,14 @@
 	// acceleratorReserve is the number of accelerators kept free for urgent
 	// work.
 	acceleratorReserve int64
+	// stopsTakeLong says that checkpointing work must leave the reserve free too.
+	stopsTakeLong bool
 	// fastestPace is the highest pace of a candidate, and unevenPaces says that the
 	// pace of some candidate is not usual.
 	fastestPace float64
 	unevenPaces bool
 }
 
-// keepsReserve reports whether placing the given number of tasks of a unit
-// leaves the accelerator reserve free. Units that may preempt are exempt, and
-// so are checkpointing tasks, which lose little when they are preempted.
-func (p *placementPass) keepsReserve(u *unit, tasks int) bool {
-	if u.mayPreempt || u.step.Checkpoints || u.step.Accelerators == 0 || p.acceleratorReserve == 0 {
-		return true
-	}
-	return p.freeAccelerators-u.step.Accelerators*int64(tasks) >= p.acceleratorReserve
-}
-
 func newPlacementPass(s *State, o *Observer, now time.Time, wall UnixMilli) *placementPass {
 	p := &placementPass{
 		state: s, observer: o, now: now, wall: wall,
--- a/scheduler/planner.go
+++ b/scheduler/planner.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 	"sort"
 	"time"
@@ -64,6 +63,9 @@
 	// LearnedRunTimes says that learned run times and paces of workers are used
 	// instead of the declared estimates.
 	LearnedRunTimes bool
+	// StopTime is the longest time that a worker takes to stop a run; 0 if it is
+	// unknown.
+	StopTime time.Duration
 
 	waitingSince map[StepID]time.Time
 	// fruitless holds when runs to preempt for a step were last searched in vain, for
@@ -74,6 +76,9 @@
 	// peakUpdated.
 	peak        float64
 	peakUpdated time.Time
+	// urgentSlack is the moving average of how much time urgent steps may lose and
+	// still meet their objectives; 0 before the first one.
+	urgentSlack time.Duration
 	// mover moves runs out of emptied data centres.
 	mover mover
 }
@@ -153,6 +158,7 @@
 	units := p.waitingUnits(s, o.runTimes, now, wall)
 	plan.Waiting = len(units)
 	units = pass.usage.rankGuaranteed(units)
+	pass.stopsTakeLong = p.stopsTakeLong(units)
 	pass.acceleratorReserve = p.updateReserve(s, units, pass, now)
 	units = p.mover.addUnits(units, pass)
 	for u := range inTurns(units) {
@@ -191,44 +197,6 @@
 // in vain, so that steps behind it get their turn.
 const searchPause = 300 * time.Millisecond
 
-const (
-	// peakHalfLife is the half-life of the peak of urgent work.
-	peakHalfLife = 6 * time.Second
-	// maxReserve bounds the share of the accelerators that is kept free.
-	maxReserve = 0.25
-)
-
-// updateReserve updates the peak of urgent work and returns how many
-// accelerators must be kept free of tasks that lose their work when preempted,
-// so that recurring urgent work finds free capacity.
-func (p *Planner) updateReserve(s *State, units []*unit, pass *placementPass, now time.Time) int64 {
-	urgent := s.urgentAccelerators()
-	held := urgent
-	for _, u := range units {
-		if u.job.Policy.Priority == 0 && !u.step.LongRunning {
-			urgent += u.step.Accelerators * int64(len(u.tasks))
-		}
-	}
-	if !p.peakUpdated.IsZero() {
-		p.peak *= math.Exp2(-float64(now.Sub(p.peakUpdated)) / float64(peakHalfLife))
-	}
-	p.peakUpdated = now
-	p.peak = max(p.peak, float64(urgent))
-	return min(max(0, int64(p.peak)-held), int64(maxReserve*float64(pass.totalAccelerators)))
-}
-
-// urgentAccelerators returns how many accelerators the runs of urgent jobs
-// hold, without long-running ones.
-func (s *State) urgentAccelerators() int64 {
-	held := int64(0)
-	s.forEachUrgentStep(func(_ *Job, step *Step, live int) {
-		if !step.LongRunning {
-			held += step.Accelerators * int64(live)
-		}
-	})
-	return held
-}
-
 // waitingUnits returns the units that are ready to start, most urgent first.
 func (p *Planner) waitingUnits(s *State, times *runTimes, now time.Time, wall UnixMilli) []*unit {
 	var units []*unit
