scheduler: tests of run times and paces from progress

Cause: the change that learns from progress had no test of its own. Change: a table of rates, and paces of a pool that runs only gangs, stopped or resumed runs; the tests fail if the time by progress is not used. Ruled out: an order of ends that is the same in each step, which real workers do not have: the first run to end has no other one to be compared with.

--- a/scheduler/estimates_test.go
+++ b/scheduler/estimates_test.go
@@ -275,6 +275,87 @@
 	}
 }
 
+// Guards against rates from too little progress, from progress that stands still, and
+// against a run that resumed and counts what it did before.
+func TestFullMillisFollowsTheRateOfProgress(t *testing.T) {
+	type report struct {
+		at      time.Duration
+		percent int
+	}
+	tests := []struct {
+		name    string
+		reports []report
+		want    int64
+	}{
+		{"no report", nil, 0},
+		{"one report", []report{{0, 40}}, 0},
+		{"steady", []report{{0, 10}, {time.Second, 30}, {2 * time.Second, 50}}, 5000},
+		{"first reports without progress", []report{{0, 0}, {time.Second, 10}, {2 * time.Second, 30}}, 5000},
+		{"resumed", []report{{0, 70}, {time.Second, 90}}, 5000},
+		{"standing still at the end", []report{{0, 10}, {time.Second, 30}, {5 * time.Second, 30}}, 5000},
+		{"too little progress", []report{{0, 10}, {2 * time.Second, 19}}, 0},
+		{"too little time", []report{{0, 10}, {300 * time.Millisecond, 60}}, 0},
+		{"done before the last report", []report{{0, 10}, {time.Second, 100}}, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			observer := NewObserver(time.Unix(1000, 0), 6*time.Second, 4*time.Second)
+			observation := observer.Track("w", 1, observer.Since)
+			run := RunID{Task: TaskID{Job: "a"}, Number: 1}
+			for _, r := range test.reports {
+				observation.RecordProgress(&LiveRun{Run: run, Percent: r.percent}, observer.Since.Add(r.at))
+			}
+			if got := observation.FullMillis(run); got != test.want {
+				t.Errorf("%d ms, want %d", got, test.want)
+			}
+		})
+	}
+}
+
+// Guards against paces that stay unknown where all work is in gangs or is cut short:
+// the members of a gang end together, but advance at their own rates.
+func TestPacesFromProgress(t *testing.T) {
+	gang := tasks(8, 8)
+	gang.Gang = true
+	tests := []struct {
+		name    string
+		step    Step
+		kind    EndKind
+		resumed bool
+	}{
+		{"gangs", gang, EndDone, false},
+		{"gangs stopped", gang, EndStopped, false},
+		{"gangs broken", gang, EndGangBroken, false},
+		{"tasks stopped", tasks(8, 8), EndStopped, false},
+		{"tasks resumed", tasks(8, 8), EndDone, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := newPool(t, 8)
+			for id := 1; id <= 5; id++ {
+				job := p.submit(id, "plan", test.step)
+				p.plan()
+				p.now = p.now.Add(time.Second)
+				runs := p.state.RunsOfJob(job)
+				for i := range runs {
+					run := runs[(i+id)%len(runs)] // the first to end has no other to be compared with
+					if test.resumed {
+						run.Checkpoint = "c"
+					}
+					p.endAtRate(run.ID, test.kind, int64(2000/truePace(run.Worker)))
+				}
+				p.apply(Command{Cancel: &Cancel{Job: job}})
+			}
+			for _, worker := range p.state.Workers() {
+				pace, known := p.state.Pace(worker)
+				if slow := truePace(worker.ID) < 1; !known || (pace < slowBelow) != slow {
+					t.Errorf("pace of %s is %.2f, known %v, true %.2f", worker.ID, pace, known, truePace(worker.ID))
+				}
+			}
+		})
+	}
+}
+
 // What was learned must survive a snapshot, and a snapshot must be restored whatever
 // has become of its estimates.
 func TestEstimatesInSnapshots(t *testing.T) {
--- a/scheduler/planner_test.go
+++ b/scheduler/planner_test.go
@@ -88,14 +88,17 @@
 	}
 }
 
-func (p *testPool) end(id RunID, kind EndKind) {
+func (p *testPool) end(id RunID, kind EndKind) { p.endAtRate(id, kind, 0) }
+
+// endAtRate ends a run whose progress told that its whole task takes fullMillis.
+func (p *testPool) endAtRate(id RunID, kind EndKind, fullMillis int64) {
 	run := p.state.Run(id)
 	if run == nil {
 		return
 	}
 	worker := p.state.Worker(run.Worker)
 	number := worker.Acked + 1
-	p.apply(Command{RecordEnds: &RecordEnds{Worker: run.Worker, Incarnation: run.Incarnation, Number: number, Ends: []End{{Number: number, Run: id, Kind: kind}}}})
+	p.apply(Command{RecordEnds: &RecordEnds{Worker: run.Worker, Incarnation: run.Incarnation, Number: number, Ends: []End{{Number: number, Run: id, Kind: kind, FullMillis: fullMillis}}}})
 }
 
 // checkPlacements checks the capacities, labels and spread limits of all placed
