coordinator: log lapses of the leader lease and stops that fail

A stop that failed left no line, the end of its sender neither, and a leader lease that lapses without a change of the leader was not logged at all.

Change: leader-lease-lapsed and leader-lease-regained, with the number of pollers and senders of stops that ended meanwhile; stop-unsent, stop-unanswered, stop-refused; the error of start-unsent tells a worker that can't be reached from a connection that was not free in time and from a share that is used up. Behaviour is as before.

--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -102,11 +102,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	worker := c.state.Worker(id)
+	now := time.Now()
 	if !c.leads(lead) || worker == nil {
+		if c.lead == lead && worker != nil {
+			c.beginLapse(lead, now).polls++
+		}
 		delete(lead.polling, id)
 		return Destination{}, 0, PollOrder{}, false
 	}
-	now := time.Now()
 	observation := lead.observer.Track(id, worker.Incarnation, now)
 	idle := len(c.state.RunsOn(id)) == 0 && observation.HasClock() && observation.AckConfirmed >= worker.Acked
 	// A worker that is reachable again may list runs that ended meanwhile.
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -139,6 +139,7 @@
 	machines []Machine
 	listedAt time.Time
 	listing  bool
+	lapse    leaseLapse
 }
 
 // Open restores the state from Config.Dir and starts to replicate the log.
@@ -322,6 +323,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.updateLeadership(now)
+	c.observeLease(now)
 	c.flushDueTallies(now)
 	if c.lead == nil {
 		c.announce(now)
--- a/coordinator/starter.go
+++ b/coordinator/starter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"time"
 
 	"cranberrystack.dev/cranberrystack/scheduler"
@@ -62,13 +63,27 @@
 // unanswered.
 func (c *Coordinator) handleUnsentStart(lead *leadership, run scheduler.Run, err error) {
 	c.config.Recorder.Add("starts.unsent", 1)
-	if lead.ctx.Err() == nil && !errors.Is(err, ErrNoConnection) {
+	if lead.ctx.Err() == nil {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.runEvent("start-unsent", run.ID, run.Worker, "", "error", "the worker can't be reached")
+		c.runEvent("start-unsent", run.ID, run.Worker, "", "error", unsentReason(err))
 	}
 }
 
+// unsentReason describes why an order was not sent, in the same words for all workers.
+func unsentReason(err error) string {
+	var dial *net.OpError
+	switch {
+	case errors.Is(err, ErrNoConnection):
+		return "this instance has no connection left"
+	case errors.As(err, &dial):
+		return "the worker can't be reached"
+	case errors.Is(err, context.DeadlineExceeded):
+		return "no connection to the worker was free in time"
+	}
+	return "the worker can't be reached"
+}
+
 func (c *Coordinator) nextStartOrder(lead *leadership, run scheduler.Run, spec string) (StartOrder, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -236,15 +251,36 @@
 			c.handleStopAnswer(lead, run, answer)
 			return
 		}
+		c.recordFailedStop(lead, run, answer, err)
 		sleepContext(lead.ctx, stopRetryDelay)
 	}
 }
 
+// recordFailedStop logs a stop that was not accepted and is going to be repeated.
+func (c *Coordinator) recordFailedStop(lead *leadership, run scheduler.Run, answer OrderAnswer, err error) {
+	if lead.ctx.Err() != nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case err == nil:
+		c.runEvent("stop-refused", run.ID, run.Worker, "", "reason", answer.Refusal)
+	case errors.Is(err, ErrNotSent):
+		c.runEvent("stop-unsent", run.ID, run.Worker, "", "error", unsentReason(err))
+	default:
+		c.runEvent("stop-unanswered", run.ID, run.Worker, "")
+	}
+}
+
 func (c *Coordinator) stopTarget(lead *leadership, run scheduler.Run) (Destination, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	worker := c.state.Worker(run.Worker)
 	if lead.ctx.Err() != nil || !c.leads(lead) || worker == nil || c.state.Run(run.ID) == nil {
+		if c.lead == lead && worker != nil && c.state.Run(run.ID) != nil {
+			c.beginLapse(lead, time.Now()).stops++
+		}
 		return Destination{}, false
 	}
 	return Destination{Worker: worker.ID, Address: worker.Address}, true
