--- a/coordinator/host_test.go
+++ b/coordinator/host_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -24,6 +25,9 @@
 	coordinator *coordinator.Coordinator
 	forwarder   *forwarder.Forwarder
 	starts      int
+	// clockAhead is how far the clock of its leader lease has been put forward, in
+	// nanoseconds.
+	clockAhead atomic.Int64
 }
 
 func (h *host) start(bootstrap bool) {
@@ -40,7 +44,7 @@
 		Transport: replicator.Transport{Send: h.send, Formation: h.formation},
 		Announce:  h.announce, PassOn: h.passOn, Orders: c.orders(h.name), Advise: c.advise, MachineManager: c.machines,
 		Recorder: recorder.New(), Logger: log.With(log.NewLogfmtLogger(log.NewSyncWriter(&lockedWriter{c: c})), "at", log.Valuer(func() any { return time.Since(c.startedAt).Milliseconds() }), "host", h.name),
-	}, coordinator.HeldPolls(c.heldPolls), coordinator.FairShare(c.fairShare), coordinator.LearnRunTimes(c.learnRunTimes), coordinator.JobMemory(cmp.Or(c.jobMemory, coordinator.DefaultJobMemory)), coordinator.DataCenters(c.dataCenters...), coordinator.LogOptions(
+	}, coordinator.HeldPolls(c.heldPolls), coordinator.FairShare(c.fairShare), coordinator.LearnRunTimes(c.learnRunTimes), coordinator.JobMemory(cmp.Or(c.jobMemory, coordinator.DefaultJobMemory)), coordinator.DataCenters(c.dataCenters...), coordinator.Clock(h.clock), coordinator.LogOptions(
 		replicator.HeartbeatInterval(120*time.Millisecond), replicator.ElectionTimeout(700*time.Millisecond),
 		replicator.CompactEntries(60), replicator.JournalOptions(journaler.WithFileOperations(files)),
 		replicator.RandomSeed(uint64(len(h.name)+h.starts)*7919+uint64(h.name[len(h.name)-1])),
@@ -56,6 +60,10 @@
 	}, c.seeds)
 }
 
+func (h *host) clock() time.Duration {
+	return time.Since(h.cluster.startedAt) + time.Duration(h.clockAhead.Load())
+}
+
 // running returns the coordinator and forwarder of the host; the coordinator is
 // nil while the host is stopped.
 func (h *host) running() (*coordinator.Coordinator, *forwarder.Forwarder) {
--- a/placer/scenario_test.go
+++ b/placer/scenario_test.go
@@ -155,6 +155,25 @@
 	}
 }
 
+// Guards against a gang of which a part runs while the start of the rest does not arrive.
+func TestPartlyStartedGangIsStopped(t *testing.T) {
+	s := newFaultlessSimulation(t)
+	s.mustSubmit(newSimJob("gang", "zebra", pairShape, 3*time.Minute))
+	s.runUntil("gang", StateLeasing, time.Minute)
+	late := s.machineByID(s.job("gang").Pieces[1].Worker)
+	late.losesStarts = true
+	s.runUntil("gang", StateStarting, time.Minute)
+	first := leaser.ID{Job: "gang", Attempt: s.job("gang").Attempt}
+	s.runFor(2*defaultCommandTimeout + defaultUrgentGrace + time.Second)
+	for _, m := range s.machines {
+		if task := m.tasks[first]; task != nil {
+			t.Errorf("a part of the gang has run on %s for %v", m.info.ID, s.now.Sub(task.began))
+		}
+	}
+	late.losesStarts = false
+	s.runUntil("gang", StateRunning, time.Minute)
+}
+
 func TestOwnerLostBetweenLeaseAndStart(t *testing.T) {
 	s := newFaultlessSimulation(t)
 	s.mustSubmit(newSimJob("gang", "zebra", pairShape, 3*time.Second))
--- a/placer/simulation_test.go
+++ b/placer/simulation_test.go
@@ -37,6 +37,9 @@
 	nextReport time.Time
 	// starts counts the starts of each attempt on this machine.
 	starts map[leaser.ID]int
+	// losesStarts says that start commands don't reach the machine, while its reports
+	// reach the owner.
+	losesStarts bool
 }
 
 type simTask struct {
@@ -185,6 +188,9 @@
 	case CommandLease:
 		s.grant(m, command)
 	case CommandStart:
+		if m.losesStarts {
+			return
+		}
 		s.startTask(m, command)
 	case CommandStop:
 		s.stopTask(m, command)
