coordinator: resume orders after a lapse of the leader lease

Callers saw gangs of which a part waited for the rest until it ended alone, although the leader had ordered it to stop, and jobs that completed up to a second and a half late.

Cause: pollers and senders of stops ended for good when they found the leader lease not valid. That is meant for the end of a leadership.

Change: they wait until the lease is valid again or the leadership ends, and so do starts, which were dropped and placed again. No order is sent in between, as before.

Requests for advice and orders of upkeep also end with a lapse, but the next plan and the state repeat them.

--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -18,7 +18,7 @@
 )
 
 // pollWorker polls a worker until no run is placed there and every end that the
-// worker listed is acknowledged, or until the leader lease is not valid any more.
+// worker listed is acknowledged, or until the leadership ends.
 func (c *Coordinator) pollWorker(lead *leadership, id identifier.WorkerID) {
 	for {
 		to, incarnation, order, more := c.nextPoll(lead, id)
@@ -97,19 +97,19 @@
 }
 
 // nextPoll prepares the next poll of a worker and returns the incarnation that
-// it is meant for. The last result is false if no further poll is needed.
+// it is meant for. The last result is false if no further poll is needed or the
+// leadership has ended.
 func (c *Coordinator) nextPoll(lead *leadership, id identifier.WorkerID) (Destination, scheduler.UnixMilli, PollOrder, bool) {
-	c.mu.Lock()
+	if !c.lockLeased(lead) {
+		return Destination{}, 0, PollOrder{}, false
+	}
 	defer c.mu.Unlock()
 	worker := c.state.Worker(id)
-	now := time.Now()
-	if !c.leads(lead) || worker == nil {
-		if c.lead == lead && worker != nil {
-			c.beginLapse(lead, now).polls++
-		}
+	if worker == nil {
 		delete(lead.polling, id)
 		return Destination{}, 0, PollOrder{}, false
 	}
+	now := time.Now()
 	observation := lead.observer.Track(id, worker.Incarnation, now)
 	idle := len(c.state.RunsOn(id)) == 0 && observation.HasClock() && observation.AckConfirmed >= worker.Acked
 	// A worker that is reachable again may list runs that ended meanwhile.
--- a/coordinator/lapse.go
+++ b/coordinator/lapse.go
@@ -2,37 +2,62 @@
 
 import "time"
 
-// leaseLapse is what ended in a leadership while its leader lease was not valid.
+// leaseLapse is a time in which a leadership goes on although its leader lease is not
+// valid. No order may be sent then.
 type leaseLapse struct {
 	// since is when the lapse was noticed; zero while the lease is valid.
 	since time.Time
-	// polls and stops count the pollers of workers and the senders of stops that ended.
-	polls, stops int
+	// regained is closed when the lease is valid again; nil while it is.
+	regained chan struct{}
+	// waiting counts the senders of orders that wait for that.
+	waiting int
 }
 
-// observeLease logs when the leader lease lapses and when it is valid again although
-// the leadership has not ended. The caller holds mu.
+// observeLease ends a lapse once the leader lease is valid again, so that the senders
+// that wait for it go on. The caller holds mu.
 func (c *Coordinator) observeLease(now time.Time) {
 	lead := c.lead
 	if lead == nil {
 		return
 	}
-	valid := c.node.HoldsLeaderLease()
-	switch lapse := &lead.lapse; {
-	case !valid && lapse.since.IsZero():
+	if !c.node.HoldsLeaderLease() {
 		c.beginLapse(lead, now)
-	case valid && !lapse.since.IsZero():
-		c.event("leader-lease-regained", "term", uint64(lead.fencingToken), "lapsed-ms", now.Sub(lapse.since).Milliseconds(),
-			"polls-ended", lapse.polls, "stops-ended", lapse.stops)
+		return
+	}
+	if lapse := &lead.lapse; !lapse.since.IsZero() {
+		c.event("leader-lease-regained", "term", uint64(lead.fencingToken), "lapsed-ms", now.Sub(lapse.since).Milliseconds(), "waiting", lapse.waiting)
+		close(lapse.regained)
 		*lapse = leaseLapse{}
 	}
 }
 
 // beginLapse records that the leader lease is not valid. The caller holds mu.
-func (c *Coordinator) beginLapse(lead *leadership, now time.Time) *leaseLapse {
+func (c *Coordinator) beginLapse(lead *leadership, now time.Time) {
 	if lead.lapse.since.IsZero() {
-		lead.lapse.since = now
+		lead.lapse = leaseLapse{since: now, regained: make(chan struct{})}
 		c.event("leader-lease-lapsed", "term", uint64(lead.fencingToken))
 	}
-	return &lead.lapse
+}
+
+// lockLeased locks mu while the leader lease is valid, for which it waits. It returns
+// false, with mu unlocked, if the leadership has ended.
+func (c *Coordinator) lockLeased(lead *leadership) bool {
+	for {
+		c.mu.Lock()
+		if c.leads(lead) {
+			return true
+		}
+		if c.lead != lead {
+			c.mu.Unlock()
+			return false
+		}
+		c.beginLapse(lead, time.Now())
+		lead.lapse.waiting++
+		regained := lead.lapse.regained
+		c.mu.Unlock()
+		select {
+		case <-regained:
+		case <-lead.ctx.Done():
+		}
+	}
 }
--- a/coordinator/starter.go
+++ b/coordinator/starter.go
@@ -84,12 +84,16 @@
 	return "the worker can't be reached"
 }
 
+// nextStartOrder prepares the next order to start a run. The last result is false if the
+// run must not be started any more.
 func (c *Coordinator) nextStartOrder(lead *leadership, run scheduler.Run, spec string) (StartOrder, bool) {
-	c.mu.Lock()
+	if !c.lockLeased(lead) {
+		return StartOrder{}, false
+	}
 	defer c.mu.Unlock()
 	attempt := lead.attempts[run.ID]
 	job := c.state.Job(run.ID.Task.Job)
-	if !c.leads(lead) || attempt == nil || c.state.Run(run.ID) == nil || job == nil || !job.Active() || !attempt.Stopped.IsZero() {
+	if attempt == nil || c.state.Run(run.ID) == nil || job == nil || !job.Active() || !attempt.Stopped.IsZero() {
 		return StartOrder{}, false
 	}
 	now := time.Now()
@@ -237,7 +241,7 @@
 }
 
 // stopRun repeats a stop until the worker accepts it, the run is no longer placed,
-// or the leader lease is not valid any more.
+// or the leadership ends.
 func (c *Coordinator) stopRun(lead *leadership, run scheduler.Run) {
 	for {
 		to, proceed := c.stopTarget(lead, run)
@@ -274,13 +278,12 @@
 }
 
 func (c *Coordinator) stopTarget(lead *leadership, run scheduler.Run) (Destination, bool) {
-	c.mu.Lock()
+	if !c.lockLeased(lead) {
+		return Destination{}, false
+	}
 	defer c.mu.Unlock()
 	worker := c.state.Worker(run.Worker)
-	if lead.ctx.Err() != nil || !c.leads(lead) || worker == nil || c.state.Run(run.ID) == nil {
-		if c.lead == lead && worker != nil && c.state.Run(run.ID) != nil {
-			c.beginLapse(lead, time.Now()).stops++
-		}
+	if worker == nil || c.state.Run(run.ID) == nil {
 		return Destination{}, false
 	}
 	return Destination{Worker: worker.ID, Address: worker.Address}, true
