placer: requeue a gang of which only a part starts

Callers of cranberryd run could see a part of a gang run without the rest for as long as the start of the rest does not arrive: the owner repeated the start every command timeout (5 s) without end, while the worker's reports, which come over another connection, renewed the leases of all.

Leases are granted before any start, so that only a lost or late start can do it.

Change: if the repeated start does not confirm the missing pieces within another command timeout while others run, the gang is stopped, with a checkpoint where it has them, and queued again with the reason.

A new owner is exempt as before until each worker has reported.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -183,7 +183,9 @@
 	// recovering is set on the job of an earlier owner until the new owner has
 	// received a report of every piece that holds accelerators.
 	recovering bool
-	dirty      bool
+	// startRepeated says that the start commands of the attempt were repeated.
+	startRepeated bool
+	dirty         bool
 }
 
 // Worker describes a worker, as it announces itself.
--- a/placer/report.go
+++ b/placer/report.go
@@ -246,7 +246,7 @@
 
 // startGang tells every worker of a fully leased gang to start.
 func (e *Engine) startGang(job *Job, now time.Time) {
-	job.recovering = false
+	job.recovering, job.startRepeated = false, false
 	e.setState(job, StateStarting, now)
 	for i := range job.Pieces {
 		e.addStart(job, &job.Pieces[i])
@@ -408,12 +408,18 @@
 }
 
 // checkStart repeats the start commands after the command timeout, or requeues
-// the job if its leases were not all granted in time.
+// the job if its leases were not all granted in time. A gang of which a part runs is
+// requeued if the repeated commands do not start the rest.
 func (e *Engine) checkStart(job *Job, now time.Time) {
 	if now.Sub(job.stateSince) < e.options.commandTimeout || job.recovering {
 		return
 	}
 	if job.State == StateStarting {
+		if job.startRepeated && partRuns(job) {
+			e.requeueRunning(job, "a worker did not start its part in time", job.Spec.Checkpointable, e.options.urgentGrace, now)
+			return
+		}
+		job.startRepeated = true
 		for i := range job.Pieces {
 			if job.Pieces[i].State == PieceLeased {
 				e.addStart(job, &job.Pieces[i])
@@ -426,6 +432,16 @@
 	e.stop(job, StateQueued, false, 0, now)
 }
 
+// partRuns reports whether at least one piece of a gang runs.
+func partRuns(job *Job) bool {
+	for i := range job.Pieces {
+		if job.Pieces[i].State == PieceRunning {
+			return true
+		}
+	}
+	return false
+}
+
 // checkStop repeats the stop commands, without a checkpoint, after the grace
 // period.
 func (e *Engine) checkStop(job *Job, now time.Time) {
