coordinator, scheduler: stop a gang as a whole if it can't start in time

Cause: when the start of one member failed, the leader stopped only that member. The others were stopped once it had left the state, which takes a poll or the end of its lease (8 s); a start that waited for a connection was given up after 3 s, which is as long as the smallest limit of workers. Nothing observed the gang.

Change: the leader observes a gang from the order of its starts (scheduler.GangStart). If a member is lost, is being stopped, or has not started within half of the time for which members wait, all are stopped at once and the gang is placed again. A run that was ordered to stop is not started any more.

Ruled out: stops that arrive too late because of the lapse of the leader lease are a fault of their own; these gangs had none.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -140,6 +140,9 @@
 	listedAt time.Time
 	listing  bool
 	lapse    leaseLapse
+	// startingGangs holds the gangs that were ordered to start during this leadership
+	// and have not all started.
+	startingGangs []*scheduler.GangStart
 }
 
 // Open restores the state from Config.Dir and starts to replicate the log.
@@ -330,6 +333,7 @@
 		return c.options.idleTick
 	}
 	c.dropExpired(now)
+	c.checkGangStarts(now)
 	c.plan(now)
 	c.advanceWaves(now)
 	c.reconcileMembership(now)
--- a/coordinator/options.go
+++ b/coordinator/options.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"time"
 
 	"cranberrystack.dev/cranberrystack/identifier"
@@ -22,6 +23,8 @@
 	defaultContactTimeout = 4 * time.Second
 	// defaultCallTimeout bounds one call that sends an order to a worker.
 	defaultCallTimeout = 500 * time.Millisecond
+	// DefaultGangWait is how long a member of a gang waits for the others.
+	DefaultGangWait = 3 * time.Second
 	// DefaultJobMemory bounds the memory that jobs take on each instance, in bytes.
 	DefaultJobMemory = 40 << 20
 	// DefaultDutyLease is how long a new leader sends no upkeep orders, since the
@@ -57,6 +60,7 @@
 	fairShare      bool
 	learnRunTimes  bool
 	stopTime       time.Duration
+	gangWait       time.Duration
 	tick           time.Duration
 	idleTick       time.Duration
 	clock          func() time.Duration
@@ -70,7 +74,7 @@
 func newOptions(opts ...Option) options {
 	start := time.Now()
 	o := options{
-		maxLease: DefaultMaxLease, jobMemory: DefaultJobMemory, startLease: defaultStartLease,
+		maxLease: DefaultMaxLease, gangWait: DefaultGangWait, jobMemory: DefaultJobMemory, startLease: defaultStartLease,
 		contactTimeout: defaultContactTimeout, callTimeout: defaultCallTimeout, dutyLease: DefaultDutyLease,
 		tick: defaultTickInterval, idleTick: defaultIdleTickInterval,
 		clock: func() time.Duration { return time.Since(start) },
@@ -118,6 +122,12 @@
 	return func(o *options) { o.stopTime = limit }
 }
 
+// GangWait sets how long a member of a gang waits for the others to start before its
+// worker ends it; 0 means DefaultGangWait.
+func GangWait(limit time.Duration) Option {
+	return func(o *options) { o.gangWait = cmp.Or(limit, DefaultGangWait) }
+}
+
 // Clock sets the clock that leader leases are measured with. It must advance
 // while the instance is suspended.
 func Clock(clock func() time.Duration) Option {
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -87,6 +87,7 @@
 			continue
 		}
 		c.observeJobWait(assignments[i].Runs[0].ID)
+		c.trackGang(lead, &assignments[i], time.Now())
 		for j := range assignments[i].Runs {
 			c.launchStart(lead, assignments[i].Runs[j].ID)
 		}
--- a/coordinator/starter.go
+++ b/coordinator/starter.go
@@ -93,7 +93,7 @@
 	defer c.mu.Unlock()
 	attempt := lead.attempts[run.ID]
 	job := c.state.Job(run.ID.Task.Job)
-	if attempt == nil || c.state.Run(run.ID) == nil || job == nil || !job.Active() || !attempt.Stopped.IsZero() {
+	if attempt == nil || c.state.Run(run.ID) == nil || job == nil || !job.Active() || lead.observer.Stopping(&run) {
 		return StartOrder{}, false
 	}
 	now := time.Now()
@@ -199,6 +199,7 @@
 	if attempt.Started.IsZero() {
 		lead.observer.Track(run.Worker, run.Incarnation, now).BackOffUntil(now.Add(refusalBackoff))
 		c.orderStop(scheduler.Stop{Run: run.ID, Cause: scheduler.CauseUnanswered, Reason: "start has no answer"}, now)
+		c.wakeLoop()
 	}
 	c.ensurePolling(run.Worker)
 }
--- a/cranberryd/loader/node.go
+++ b/cranberryd/loader/node.go
@@ -60,6 +60,9 @@
 	// StopTime is the longest time that a worker takes to stop a run; empty if it is
 	// unknown.
 	StopTime Duration `json:"stop-time,omitempty" validate:"omitempty,time"`
+	// GangWait is how long a member of a gang waits for the others to start; empty for
+	// coordinator.DefaultGangWait.
+	GangWait Duration `json:"gang-wait,omitempty" validate:"omitempty,time"`
 }
 
 // NodeLog configures the event log.
--- a/cranberryd/node/coordination.go
+++ b/cranberryd/node/coordination.go
@@ -72,6 +72,7 @@
 		coordinator.FairShare(settings.Sharing == loader.SharingFair),
 		coordinator.DataCenters(settings.DataCenters...),
 		coordinator.DutyLease(settings.Bounds.DutyLease.Std()),
+		coordinator.GangWait(settings.Bounds.GangWait.Std()),
 		coordinator.StopTime(settings.Bounds.StopTime.Std()),
 		coordinator.LearnRunTimes(settings.RunTimes == loader.RunTimesLearned),
 		coordinator.Clock(p.deps.Clock),
