--- a/coordinator/gang_test.go
+++ b/coordinator/gang_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
 	"cranberrystack.dev/cranberrystack/coordinator"
+	"cranberrystack.dev/cranberrystack/faker"
 	"cranberrystack.dev/cranberrystack/identifier"
 	"cranberrystack.dev/cranberrystack/scheduler"
 )
@@ -72,3 +75,45 @@
 		})
 	}
 }
+
+// Gangs must start as a whole or be stopped in time while starts find no connection,
+// responses are lost and the leader lease lapses, without a change of the leader.
+func TestNoGangMemberEndsAloneWithoutDisruption(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			random, faults := rand.New(rand.NewPCG(seed, 97)), rand.New(rand.NewPCG(seed, 98))
+			var mu sync.Mutex // guards faults and blockedUntil
+			blockedUntil := map[identifier.WorkerID]time.Time{}
+			setup := func(c *cluster) {
+				c.start = func(ctx context.Context, to coordinator.Destination, order coordinator.StartOrder) (coordinator.OrderAnswer, error) {
+					mu.Lock()
+					blocked := time.Now().Before(blockedUntil[to.Worker])
+					if !blocked && faults.IntN(12) == 0 {
+						blockedUntil[to.Worker] = time.Now().Add(time.Duration(faults.IntN(5000)) * time.Millisecond)
+					}
+					mu.Unlock()
+					if blocked {
+						return coordinator.OrderAnswer{}, fmt.Errorf("too many open files: %w", coordinator.ErrNoConnection)
+					}
+					return c.workerCluster.Orders("network").Start(ctx, to, order)
+				}
+			}
+			inClusterWith(t, 200+seed, 4, 8, setup, func(c *cluster) {
+				c.workerCluster.SetFaults(faker.TaskFaults{LostResponseProbability: 0.05})
+				for i := range 12 {
+					gang := step(2+random.IntN(4), int64(200+random.IntN(1500)), 4)
+					gang.Gang = true
+					c.submit("long", jobID(i+1), scheduler.Request{Spec: "s", Steps: []scheduler.Step{gang}})
+					time.Sleep(time.Duration(random.IntN(600)) * time.Millisecond)
+					if leader := c.leader(); leader != nil && random.IntN(3) == 0 {
+						c.lapseLease(leader, time.Duration(random.IntN(400))*time.Millisecond)
+					}
+				}
+				for i := range 12 {
+					c.waitForState("long", jobID(i+1), "completed", 60*time.Second)
+				}
+				c.checkNoneAlone()
+			})
+		})
+	}
+}
