coordinator: place a gang elsewhere if a member could not be started in time

Callers could wait for a gang without end: after a start that no connection was found for, the gang was stopped and placed on the same worker again, 33 times in a minute.

Cause: a start that can't be sent for want of a connection says nothing about the worker, and the order in which workers are rated is the same in each pass.

Change: the workers of the members that have not started in time get no new runs for a second, as after a refused or unanswered start. GangStart.Check names them.

--- a/coordinator/gang_test.go
+++ b/coordinator/gang_test.go
@@ -1,6 +1,7 @@
 package coordinator_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -76,6 +77,32 @@
 	}
 }
 
+// A gang must not be placed again and again on a worker to which no start can be sent while
+// others are free.
+func TestGangLeavesWorkerThatCannotStartIt(t *testing.T) {
+	var mu sync.Mutex
+	var blocked identifier.WorkerID
+	setup := func(c *cluster) {
+		c.start = func(ctx context.Context, to coordinator.Destination, order coordinator.StartOrder) (coordinator.OrderAnswer, error) {
+			mu.Lock()
+			blocked = cmp.Or(blocked, to.Worker)
+			noConnection := to.Worker == blocked
+			mu.Unlock()
+			if noConnection {
+				return coordinator.OrderAnswer{}, fmt.Errorf("too many open files: %w", coordinator.ErrNoConnection)
+			}
+			return c.workerCluster.Orders("network").Start(ctx, to, order)
+		}
+	}
+	inClusterWith(t, 97, 4, 4, setup, func(c *cluster) {
+		gang := step(3, 1000, 8)
+		gang.Gang = true
+		c.submit("long", jobID(1), scheduler.Request{Spec: "s", Steps: []scheduler.Step{gang}})
+		c.waitForState("long", jobID(1), "completed", 6*time.Second)
+		c.checkNoneAlone()
+	})
+}
+
 // Gangs must start as a whole or be stopped in time while starts find no connection,
 // responses are lost and the leader lease lapses, without a change of the leader.
 func TestNoGangMemberEndsAloneWithoutDisruption(t *testing.T) {
--- a/coordinator/gangs.go
+++ b/coordinator/gangs.go
@@ -27,20 +27,24 @@
 
 // checkGangStarts stops the gangs that can't start any more or have not started in time:
 // a member that has started waits for the others in vain, and its worker ends it late.
-// The caller holds mu.
+// For a while, the workers of late members get no new runs, so that the gang is placed
+// elsewhere. The caller holds mu.
 func (c *Coordinator) checkGangStarts(now time.Time) {
 	lead := c.lead
 	limit := time.Duration(gangStartShare * float64(c.options.gangWait))
 	starting := lead.startingGangs
 	lead.startingGangs = nil
 	for _, gang := range starting {
-		settled, failure := gang.Check(c.state, lead.observer, lead.attempts, limit, now)
+		verdict := gang.Check(c.state, lead.observer, lead.attempts, limit, now)
+		for _, run := range verdict.Late {
+			lead.observer.Track(run.Worker, run.Incarnation, now).BackOffUntil(now.Add(refusalBackoff))
+		}
 		switch {
-		case failure != "":
+		case verdict.Failure != "":
 			for _, id := range gang.Members {
-				c.orderStop(scheduler.Stop{Run: id, Cause: scheduler.CauseGangIncomplete, Reason: failure}, now)
+				c.orderStop(scheduler.Stop{Run: id, Cause: scheduler.CauseGangIncomplete, Reason: verdict.Failure}, now)
 			}
-		case settled:
+		case verdict.Settled:
 			_ = c.config.Recorder.Observe(recorder.Series{Name: "gang-start"}, now.Sub(gang.OrderedAt))
 		default:
 			lead.startingGangs = append(lead.startingGangs, gang)
--- a/coordinator/starter.go
+++ b/coordinator/starter.go
@@ -175,7 +175,8 @@
 }
 
 // refusalBackoff is how long a worker gets no new runs after it refused a start
-// as unhealthy or for lack of capacity, or responded to none of a start's calls.
+// as unhealthy or for lack of capacity, responded to none of a start's calls, or did not
+// start a member of a gang in time.
 const refusalBackoff = time.Second
 
 // abandonStart gives up a start that was never answered. unreachable says that the
--- a/scheduler/gangstart_test.go
+++ b/scheduler/gangstart_test.go
@@ -18,11 +18,12 @@
 		change  func(p *testPool, members []RunID)
 		settled bool
 		failure string
+		late    int
 	}{
 		{name: "all have started", started: 3, after: 3 * time.Second, settled: true},
 		{name: "one is awaited", started: 2, after: limit - time.Millisecond},
-		{name: "one is late", started: 2, after: limit, failure: "1 of 3 members have not started"},
-		{name: "none has started in time", after: limit, failure: "3 of 3 members have not started"},
+		{name: "one is late", started: 2, after: limit, failure: "1 of 3 members have not started", late: 1},
+		{name: "none has started in time", after: limit, failure: "3 of 3 members have not started", late: 3},
 		{name: "one is lost", started: 2, failure: "is lost", change: func(p *testPool, members []RunID) {
 			p.apply(Command{Drop: &Drop{Runs: members[2:]}})
 		}},
@@ -62,9 +63,9 @@
 				test.change(p, members)
 			}
 			start := GangStart{Members: members, OrderedAt: p.now}
-			settled, failure := start.Check(p.state, p.observer, attempts, limit, p.now.Add(test.after))
-			if settled != test.settled || !strings.Contains(failure, test.failure) || (failure == "") != (test.failure == "") {
-				t.Errorf("settled %t, failure %q, want %t and %q", settled, failure, test.settled, test.failure)
+			got := start.Check(p.state, p.observer, attempts, limit, p.now.Add(test.after))
+			if got.Settled != test.settled || !strings.Contains(got.Failure, test.failure) || (got.Failure == "") != (test.failure == "") || len(got.Late) != test.late {
+				t.Errorf("settled %t, failure %q, %d late, want %t, %q and %d", got.Settled, got.Failure, len(got.Late), test.settled, test.failure, test.late)
 			}
 		})
 	}
