--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -12,18 +12,23 @@
 
 // callers sends the calls of clients and of the operator.
 type callers struct {
+	// key is the key of the calls of clients.
+	key        string
 	deployment *deployment
 	record     *record
 	http       http.Client
 }
 
 func newCallers(d *deployment) *callers {
-	return &callers{deployment: d, record: d.record, http: http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
+	return &callers{key: key, deployment: d, record: d.record, http: http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
 }
 
 const (
 	host = "nony24.example"
-	key  = "d4a3hwrr6x73d3zji9n7"
+	// key is that of the team kaje80, to which 8 accelerators are guaranteed, and otherKey
+	// that of the team visu11.
+	key      = "d4a3hwrr6x73d3zji9n7"
+	otherKey = "3hh2b9wu3fexd9dnn2ct"
 	// servicePool is the service that all queues use, and otherPool one that none uses.
 	servicePool = "dispatch"
 	otherPool   = "survey"
@@ -33,6 +38,8 @@
 type queue struct {
 	name, prefix          string
 	priority, maxAttempts int
+	// advice is set if a policy outside the system chooses the executors.
+	advice *adviceTimes
 }
 
 // configure sends a configuration to the control nodes until one acknowledges it.
@@ -47,16 +54,23 @@
 		pools = append(pools, map[string]any{"name": name, "health-path": "/healthz", "max-connections": 64, "protocol": "h1", "tls": false, "guards-capacity": true, "standby": false})
 	}
 	for _, q := range queues {
-		rows = append(rows, map[string]any{
+		row := map[string]any{
 			"name": q.name, "host": host, "path-prefix": q.prefix, "kind": "non_idempotent", "timeout-ms": 3000, "objective-ms": 1000,
 			"priority": q.priority, "worker-pool": servicePool, "max-attempts": q.maxAttempts, "stretch": 3.0, "open": false,
-		})
+		}
+		if q.advice != nil {
+			row["advice"] = map[string]int{"decide-ms": q.advice.decide, "period-ms": q.advice.period, "valid-ms": q.advice.valid}
+		}
+		rows = append(rows, row)
 	}
 	document := map[string]any{
 		"version": 7, "queues": rows,
 		"pools":  pools,
 		"limits": map[string]int{"max-header-bytes": 16384, "max-body-bytes": 262144, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-		"teams":  []map[string]any{{"name": "kaje80", "keys": []string{key}, "priority": 1, "guarantee": map[string]int{"accelerators": 8}}},
+		"teams": []map[string]any{
+			{"name": "kaje80", "keys": []string{key}, "priority": 1, "guarantee": map[string]int{"accelerators": 8}},
+			{"name": "visu11", "keys": []string{otherKey}, "priority": 1, "guarantee": map[string]int{"accelerators": 4}},
+		},
 	}
 	data, err := json.Marshal(document)
 	if err != nil {
@@ -82,7 +96,7 @@
 	request.Header.Set("Content-Type", "application/json")
 	if asClient {
 		request.Host = host
-		request.Header.Set("Authorization", "Token "+key)
+		request.Header.Set("Authorization", "Token "+c.key)
 		request.Header.Set(wire["deadline-header"], "3000")
 	}
 	response, err := c.http.Do(request)
@@ -105,12 +119,14 @@
 	Accelerators int    `json:"accelerators"`
 	Estimate     int    `json:"estimate-ms"`
 	Label        string `json:"needs-label,omitempty"`
+	LongRunning  bool   `json:"long-running,omitempty"`
+	MayMiss      int    `json:"may-miss,omitempty"`
 }
 
 // submit hands a job in, again after no clear answer, and returns whether it was
-// accepted.
+// accepted. millis is the duration of each task; one that lasts has 0.
 func (c *callers) submit(q queue, id string, millis int, s step) bool {
-	s.Estimate = millis
+	s.Estimate = max(millis, 1000)
 	data, err := json.Marshal(map[string]any{"spec": fmt.Sprintf("ms=%d gpu=%d", millis, s.Accelerators), "steps": []step{s}})
 	if err != nil {
 		return false
--- a/review/rig/deployment.go
+++ b/review/rig/deployment.go
@@ -34,8 +34,11 @@
 	log          *os.File
 	record       *record
 	ports        ports
-	control      []*node
-	gateways     []*node
+	// machines and advice are the addresses of the machine manager and of the service for
+	// advice, "" if there is none.
+	machines, advice string
+	control          []*node
+	gateways         []*node
 }
 
 const binary = "target/cranberryd"
@@ -106,7 +109,7 @@
 	return map[string]any{
 		"instance": n.name, "role": n.role, "data-center": "nyarugenge", "region": "kigali", "data-centers": []string{"nyarugenge"},
 		"address": at(n.ip, d.ports.internal), "seeds": seeds, "listen": listen, "metrics": at(n.ip, d.ports.metrics),
-		"bootstrap": !n.started, "data-folder": data, "memory-mib": memory, "descriptors": 4096, "advice": "", "machines": "",
+		"bootstrap": !n.started, "data-folder": data, "memory-mib": memory, "descriptors": 4096, "advice": d.advice, "machines": d.machines,
 		"bounds":  map[string]string{"grace": "6s", "max-lease": "6000ms", "duty-lease": "3000ms", "stop-time": "200ms", "gang-wait": "3000ms"},
 		"control": map[string]int{"tolerated-losses": 1},
 	}
--- a/review/rig/executor.go
+++ b/review/rig/executor.go
@@ -31,6 +31,8 @@
 	ends   map[string]int
 	// state is what it reports.
 	state string
+	// ticket is what a start has to carry; "" if none is needed.
+	ticket string
 	// reportOrder holds the addresses to report to, the preferred one first.
 	reportOrder []string
 }
@@ -146,8 +148,15 @@
 	Acked      int64  `json:"ack-sequence"`
 	Wait       int64  `json:"wait-ms"`
 	Checkpoint string `json:"checkpoint"`
+	Ticket     string `json:"ticket"`
 }
 
+// startupTime is how long a task that lasts takes until it is at work.
+const startupTime = 300 * time.Millisecond
+
+// atWork reports whether a task that lasts is at work.
+func (t *taskRun) atWork() bool { return t.lasts > time.Hour && time.Since(t.began) > startupTime }
+
 type handle func(l *life, o *order) (status int, body map[string]any)
 
 // serve decodes an order, checks the addressed incarnation and the fencing token, and
@@ -211,8 +220,13 @@
 		return refused("late")
 	case used > e.accelerators:
 		return refused("room")
+	case e.ticket != "" && o.Ticket != e.ticket:
+		return refused("ticket")
 	}
 	run := &taskRun{number: o.Run, need: need, began: time.Now(), lasts: time.Duration(millis) * time.Millisecond}
+	if millis == 0 {
+		run.lasts = 24 * time.Hour
+	}
 	run.endOnce = time.AfterFunc(run.lasts, func() { e.endRun(l, o.Task, run, "done") })
 	l.running[o.Task] = run
 	e.starts[o.Task]++
@@ -297,6 +311,9 @@
 	running := [][]any{}
 	for task, run := range l.running {
 		percent := int(min(99, time.Since(run.began)*100/run.lasts))
+		if run.atWork() {
+			percent = 100
+		}
 		running = append(running, []any{task, run.number, "", percent, 0})
 	}
 	return http.StatusOK, map[string]any{"running": running, "ended": append([][]any{}, l.ended...)}
@@ -317,6 +334,10 @@
 	}
 }
 
+func (e *executor) capacity() map[string]int {
+	return map[string]int{"cpu-milli": 64000, "memory-mb": 131072, "accelerators": e.accelerators}
+}
+
 // report sends one report, to the next node if one does not answer within a second, and
 // returns whether it was acknowledged.
 func (e *executor) report(l *life) bool {
@@ -324,8 +345,8 @@
 	l.sequence++
 	body := map[string]any{
 		"worker-pool": e.pool, "address": e.address, "data-center": "nyarugenge", "version": "v1", "slots": 8, "state": e.state,
-		"warm-up-ms": 0, "capacity": map[string]int{"cpu-milli": 64000, "memory-mb": 131072, "accelerators": e.accelerators}, "labels": e.labels,
-		"clock-ms": l.clock(), "born": l.born, "sequence": l.sequence, "machine": "m-" + e.id,
+		"warm-up-ms": 0, "capacity": e.capacity(), "labels": e.labels,
+		"clock-ms": l.clock(), "born": l.born, "sequence": l.sequence, "machine": e.machine(),
 	}
 	if e.state == "draining" {
 		body["remaining-ms"] = 2000
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -23,6 +23,8 @@
 	deployment *deployment
 	callers    *callers
 	executors  []*executor
+	manager    *manager
+	adviser    *adviser
 	record     *record
 	// trouble says that the disruption is played.
 	trouble bool
@@ -35,14 +37,22 @@
 type theCase struct {
 	play        func(*rig) error
 	control     int
+	machines    bool
+	advice      bool
 	startsNodes bool
 }
 
 var cases = map[string]theCase{
-	"first-start": {play: playFirstStart, control: 4, startsNodes: true},
-	"flapping":    {play: playFlapping, control: 3},
-	"leave":       {play: playLeave, control: 4},
-	"pending":     {play: playPending, control: 3},
+	"advice":         {play: playAdvice, control: 3, advice: true},
+	"first-start":    {play: playFirstStart, control: 4, startsNodes: true},
+	"flapping":       {play: playFlapping, control: 3},
+	"foreign":        {play: playForeign, control: 3},
+	"leave":          {play: playLeave, control: 4},
+	"pending":        {play: playPending, control: 3},
+	"reclaim":        {play: playReclaim, control: 3},
+	"reclaim-others": {play: playReclaimOthers, control: 3},
+	"slow-advice":    {play: playSlowAdvice, control: 3, advice: true},
+	"upkeep":         {play: playUpkeep, control: 3, machines: true},
 }
 
 func main() {
@@ -86,17 +96,27 @@
 		return err
 	}
 	defer d.stop()
-	if !one.startsNodes {
-		if err := d.start(); err != nil {
-			return err
-		}
-	}
 	g := &rig{deployment: d, callers: newCallers(d), record: r, trouble: os.Getenv("TROUBLE") != "0"}
 	defer func() {
 		for _, e := range g.executors {
 			e.crash()
 		}
 	}()
+	if one.machines {
+		if g.manager, err = newManager(g); err != nil {
+			return err
+		}
+	}
+	if one.advice {
+		if g.adviser, err = newAdviser(g); err != nil {
+			return err
+		}
+	}
+	if !one.startsNodes {
+		if err := d.start(); err != nil {
+			return err
+		}
+	}
 	return one.play(g)
 }
 
