--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -29,7 +30,7 @@
 	// that of the team visu11.
 	key      = "d4a3hwrr6x73d3zji9n7"
 	otherKey = "3hh2b9wu3fexd9dnn2ct"
-	// servicePool is the service that all queues use, and otherPool one that none uses.
+	// servicePool is the service that queues use which name none, and otherPool another.
 	servicePool = "dispatch"
 	otherPool   = "survey"
 )
@@ -38,6 +39,8 @@
 type queue struct {
 	name, prefix          string
 	priority, maxAttempts int
+	// pool is the service; "" is servicePool.
+	pool string
 	// advice is set if a policy outside the system chooses the executors.
 	advice *adviceTimes
 }
@@ -56,7 +59,7 @@
 	for _, q := range queues {
 		row := map[string]any{
 			"name": q.name, "host": host, "path-prefix": q.prefix, "kind": "non_idempotent", "timeout-ms": 3000, "objective-ms": 1000,
-			"priority": q.priority, "worker-pool": servicePool, "max-attempts": q.maxAttempts, "stretch": 3.0, "open": false,
+			"priority": q.priority, "worker-pool": cmp.Or(q.pool, servicePool), "max-attempts": q.maxAttempts, "stretch": 3.0, "open": false,
 		}
 		if q.advice != nil {
 			row["advice"] = map[string]int{"decide-ms": q.advice.decide, "period-ms": q.advice.period, "valid-ms": q.advice.valid}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -49,6 +49,7 @@
 	"foreign":        {play: playForeign, control: 3},
 	"leave":          {play: playLeave, control: 4},
 	"pending":        {play: playPending, control: 3},
+	"poison":         {play: playPoison, control: 3},
 	"reclaim":        {play: playReclaim, control: 3},
 	"reclaim-others": {play: playReclaimOthers, control: 3},
 	"slow-advice":    {play: playSlowAdvice, control: 3, advice: true},
