review: case 4, a guarantee is not met while a competitor's urgent gang holds more than its own

The same code as before (preemptible), with two tenants and ordinary traffic: a gang is not stopped because its team would then hold less than its guarantee, which never covered the gang. The two variants that last stay as further plays. The processes of a play now end with the thread that started them.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -6,4 +6,4 @@
   echo "build first: the build line of deploy/system.toml, then review/build.sh"
   exit 2
 fi
-exec target/review-rig reclaim review/4
+exec target/review-rig reclaim-gang review/4
--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -122,6 +122,7 @@
 	Accelerators int    `json:"accelerators"`
 	Estimate     int    `json:"estimate-ms"`
 	Label        string `json:"needs-label,omitempty"`
+	Gang         bool   `json:"gang,omitempty"`
 	LongRunning  bool   `json:"long-running,omitempty"`
 	MayMiss      int    `json:"may-miss,omitempty"`
 }
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"runtime"
 	"time"
 )
 
@@ -51,12 +52,15 @@
 	"pending":        {play: playPending, control: 3},
 	"poison":         {play: playPoison, control: 3},
 	"reclaim":        {play: playReclaim, control: 3},
+	"reclaim-gang":   {play: playReclaimGang, control: 3},
 	"reclaim-others": {play: playReclaimOthers, control: 3},
 	"slow-advice":    {play: playSlowAdvice, control: 3, advice: true},
 	"upkeep":         {play: playUpkeep, control: 3, machines: true},
 }
 
 func main() {
+	// The processes of the product end with the thread that started them.
+	runtime.LockOSThread()
 	if len(os.Args) != 3 || cases[os.Args[1]].play == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-rig CASE FOLDER, in the root of the repository")
 		os.Exit(exitNotRun)
--- a/review/rig/reclaim.go
+++ b/review/rig/reclaim.go
@@ -15,14 +15,34 @@
 // playReclaim lets a team use all executors, with tasks that last of which one may be
 // unavailable, or with no trouble with tasks that end late. Then the same team hands in an
 // urgent job that needs exactly what is guaranteed to it.
-func playReclaim(g *rig) error { return g.playFilled(key, 1) }
+func playReclaim(g *rig) error {
+	return g.playFilled(filler{key: key, step: step{LongRunning: true, MayMiss: 1}})
+}
 
 // playReclaimOthers is playReclaim with the tasks of another team, none of which may be
 // unavailable.
-func playReclaimOthers(g *rig) error { return g.playFilled(otherKey, 0) }
+func playReclaimOthers(g *rig) error {
+	return g.playFilled(filler{key: otherKey, step: step{LongRunning: true}})
+}
+
+// playReclaimGang is playReclaim with an urgent gang of another team, which holds far more
+// than is guaranteed to that team.
+func playReclaimGang(g *rig) error {
+	return g.playFilled(filler{key: otherKey, step: step{Gang: true}, millis: 100000, urgent: true})
+}
 
-// playFilled fills the executors with a job of the team that has the given key.
-func (g *rig) playFilled(filler string, mayMiss int) error {
+// filler is the job that takes all executors first: whose it is, what its step is like
+// besides its size, and how long its tasks take.
+type filler struct {
+	key    string
+	step   step
+	millis int
+	urgent bool
+}
+
+// playFilled fills the executors with a job, or with no trouble with one of ordinary tasks
+// that end late, and then hands in an urgent job that a guarantee covers.
+func (g *rig) playFilled(f filler) error {
 	urgent := queue{name: "r-urgent", prefix: "/urgent/", priority: 0, maxAttempts: 4}
 	later := queue{name: "r-later", prefix: "/later/", priority: 2, maxAttempts: 4}
 	if err := g.callers.configure(urgent, later); err != nil {
@@ -39,12 +59,16 @@
 	time.Sleep(2 * time.Second)
 	const id, other = "5c0e7a21d94b36f8", "00000000000000a1"
 	fillers := *g.callers
-	fillers.key = filler
-	filling, millis := step{Width: 2, CPU: 4000, Memory: 1024, Accelerators: 8}, 100000
-	if g.trouble {
-		filling.LongRunning, filling.MayMiss, millis = true, mayMiss, 0
+	fillers.key = f.key
+	filling, from := f.step, later
+	if f.urgent && g.trouble {
+		from = urgent
+	}
+	if !g.trouble {
+		filling, f.millis = step{}, 100000
 	}
-	if !fillers.submit(later, other, millis, filling) {
+	filling.Width, filling.CPU, filling.Memory, filling.Accelerators = 2, 4000, 1024, 8
+	if !fillers.submit(from, other, f.millis, filling) {
 		return errors.New("the first job was not accepted")
 	}
 	if !wait(10*time.Second, func() bool { return g.executors[0].working() && g.executors[1].working() }) {
