scheduler, coordinator: remember what advice says about each worker

Cause: a response that allowed nobody left nothing behind, so that the next request named the same 30 workers in the same order (247 requests in 20 s, the six allowed workers in none of them). A valid ticket for a worker without room kept its step from further requests, and the size of a request did not depend on the times that the catalog states.

Change: the leader keeps a verdict for each step, worker and incarnation. A request names the most useful workers that are not known yet; its size and its time limit follow from the catalog. A step wants advice as long as tasks of it wait and a request could help. Every second request goes to the step that has waited the longest. A refused ticket is dropped alone, not with those of the other workers. Verdicts are bounded, and tickets count from the request, or from the response if they would be over by then.

Ruled out: another order of the workers, which is as fixed as the first.

TestEmptiedDataCenterIsNoCandidate and TestMovesWaitForUrgentWorkAndAdvice use the new calls, with the same expectations.

--- a/coordinator/advice.go
+++ b/coordinator/advice.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"sort"
+	"maps"
+	"slices"
 	"time"
 
 	"cranberrystack.dev/cranberrystack/identifier"
@@ -10,89 +11,83 @@
 )
 
 const (
-	// maxAdviceWorkers bounds the workers named in one advice request.
-	maxAdviceWorkers = 30
+	// adviceTimeout bounds how long a request for advice takes beyond what the catalog
+	// says.
 	adviceTimeout    = 4 * time.Second
 	adviceRetryDelay = 300 * time.Millisecond
 )
 
-// requestAdvice queues a request for advice on which workers may run a step. One
-// goroutine sends the requests one by one. The caller holds mu.
-func (c *Coordinator) requestAdvice(step scheduler.StepID) {
+// requestAdvice replaces the steps for which advice is wanted. One goroutine sends the
+// requests one by one. The caller holds mu.
+func (c *Coordinator) requestAdvice(steps []scheduler.StepID) {
 	lead := c.lead
-	if lead.adviceRequested[step] || c.config.Advise == nil {
+	clear(lead.adviceWanted)
+	if c.config.Advise == nil {
 		return
 	}
-	lead.adviceRequested[step] = true
-	if !lead.advising {
+	for _, step := range steps {
+		lead.adviceWanted[step] = true
+	}
+	if len(steps) > 0 && !lead.advising {
 		lead.advising = true
 		go c.runAdviceRequests(lead)
 	}
 }
 
 func (c *Coordinator) runAdviceRequests(lead *leadership) {
-	for {
-		step, workers, more := c.nextAdviceRequest(lead)
+	// A step whose requests are never enough must not keep others from theirs, so that
+	// every second request goes to the step that has waited the longest.
+	for inTurn := false; ; inTurn = !inTurn {
+		request, more := c.nextAdviceRequest(lead, inTurn)
 		if !more {
 			return
 		}
-		ctx, cancel := context.WithTimeout(lead.ctx, adviceTimeout)
+		ctx, cancel := context.WithTimeout(lead.ctx, request.Expected+adviceTimeout)
 		sent := time.Now()
-		advice, err := c.config.Advise(ctx, step, workers)
+		answer, err := c.config.Advise(ctx, request.Step, request.Workers)
 		cancel()
-		c.recordAdvice(lead, step, sent, advice, err)
+		c.recordAdvice(lead, request, sent, answer, err)
 		if err != nil {
 			sleepContext(lead.ctx, adviceRetryDelay)
 		}
 	}
 }
 
-// nextAdviceRequest returns the step that is placed first and the candidate
-// workers for it. Steps without candidates are dropped from the queue, and all
-// steps while the leader lease is not valid. The last result is false if the
-// goroutine has to end.
-func (c *Coordinator) nextAdviceRequest(lead *leadership) (scheduler.StepID, []identifier.WorkerID, bool) {
+// nextAdviceRequest returns the next request to send. The last result is false if the
+// goroutine has to end, as none is needed or the leader lease is not valid.
+func (c *Coordinator) nextAdviceRequest(lead *leadership, inTurn bool) (scheduler.AdviceRequest, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.leads(lead) {
-		lead.advising = false
-		clear(lead.adviceRequested)
-		return scheduler.StepID{}, nil, false
-	}
-	var steps []scheduler.StepID
-	for step := range lead.adviceRequested {
-		steps = append(steps, step)
-	}
-	sort.Slice(steps, func(i, j int) bool { return c.state.StepPrecedes(steps[i], steps[j]) })
-	for _, step := range steps {
-		workers := c.state.CandidateWorkers(lead.observer, step, maxAdviceWorkers, time.Now())
-		if len(workers) > 0 {
-			return step, workers, true
+	if c.leads(lead) && len(lead.adviceWanted) > 0 {
+		steps := slices.Collect(maps.Keys(lead.adviceWanted))
+		now := time.Now()
+		request, more := c.state.NextAdviceRequest(lead.observer, steps, inTurn, now, wallTime())
+		if more {
+			lead.observer.RecordAdviceRequest(request.Step, now)
+			return request, true
 		}
-		delete(lead.adviceRequested, step)
 	}
 	lead.advising = false
-	return scheduler.StepID{}, nil, false
+	clear(lead.adviceWanted)
+	return scheduler.AdviceRequest{}, false
 }
 
-func (c *Coordinator) recordAdvice(lead *leadership, step scheduler.StepID, sent time.Time, advice AdviceAnswer, err error) {
+func (c *Coordinator) recordAdvice(lead *leadership, request scheduler.AdviceRequest, sent time.Time, answer AdviceAnswer, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(lead.adviceRequested, step)
+	delete(lead.adviceWanted, request.Step)
 	if c.lead != lead {
 		return
 	}
-	c.event("advice-response", "step", step, "allowed", len(advice.Allowed), "valid-ms", advice.ValidMillis, "error", err)
+	c.event("advice-response", "step", request.Step, "named", len(request.Workers), "allowed", len(answer.Allowed),
+		"took", time.Since(sent).Round(time.Millisecond), "valid-ms", answer.ValidMillis, "error", err)
 	if err != nil {
 		return
 	}
-	tickets := map[identifier.WorkerID]scheduler.Ticket{}
-	until := sent.Add(time.Duration(advice.ValidMillis) * time.Millisecond)
-	for _, allowed := range advice.Allowed {
-		if worker := c.state.Worker(allowed.Worker); worker != nil {
-			tickets[allowed.Worker] = scheduler.Ticket{Text: allowed.Ticket, Incarnation: worker.Incarnation, Until: until}
-		}
+	response := scheduler.AdviceResponse{Tickets: map[identifier.WorkerID]string{}, ValidMillis: answer.ValidMillis}
+	for _, allowed := range answer.Allowed {
+		response.Tickets[allowed.Worker] = allowed.Ticket
 	}
-	lead.observer.Tickets[step] = tickets
+	lead.observer.RecordAdvice(request, response, sent, time.Now())
 	c.wakeLoop()
 }
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -124,8 +124,9 @@
 	unsentRuns map[scheduler.RunID]bool
 	// droppingUnsent says that a drop of unsent runs is being committed.
 	droppingUnsent bool
-	// adviceRequested holds the steps for which advice is requested.
-	adviceRequested map[scheduler.StepID]bool
+	// adviceWanted holds the steps for which the last plan wants advice, without those
+	// that were answered since.
+	adviceWanted map[scheduler.StepID]bool
 	// advising says that a goroutine sends the requests for advice.
 	advising bool
 	// paces holds the last ordered pace of each paced run, in percent. Entries of
@@ -361,16 +362,16 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c.lead = &leadership{
 		ctx: ctx, cancel: cancel, fencingToken: scheduler.FencingToken(view.Term),
-		observer:        scheduler.NewObserver(now, c.options.maxLease, c.options.contactTimeout),
-		planner:         scheduler.NewPlanner(),
-		attempts:        map[scheduler.RunID]*scheduler.StartAttempt{},
-		unsentRuns:      map[scheduler.RunID]bool{},
-		polling:         map[identifier.WorkerID]bool{},
-		droppingRuns:    map[identifier.WorkerID]bool{},
-		adviceRequested: map[scheduler.StepID]bool{},
-		paces:           map[scheduler.RunID]int{},
-		stopEvents:      map[identifier.JobID][]scheduler.JobEvent{},
-		upkeepInFlight:  map[scheduler.MachineID]bool{},
+		observer:       scheduler.NewObserver(now, c.options.maxLease, c.options.contactTimeout),
+		planner:        scheduler.NewPlanner(),
+		attempts:       map[scheduler.RunID]*scheduler.StartAttempt{},
+		unsentRuns:     map[scheduler.RunID]bool{},
+		polling:        map[identifier.WorkerID]bool{},
+		droppingRuns:   map[identifier.WorkerID]bool{},
+		adviceWanted:   map[scheduler.StepID]bool{},
+		paces:          map[scheduler.RunID]int{},
+		stopEvents:     map[identifier.JobID][]scheduler.JobEvent{},
+		upkeepInFlight: map[scheduler.MachineID]bool{},
 	}
 	c.lead.planner.FairShare = c.options.fairShare
 	c.lead.planner.LearnedRunTimes = c.options.learnRunTimes
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -23,9 +23,7 @@
 	for _, stop := range plan.Stop {
 		c.orderStop(stop, now)
 	}
-	for _, step := range plan.Advise {
-		c.requestAdvice(step)
-	}
+	c.requestAdvice(plan.Advise)
 	if len(plan.Assign) == 0 {
 		return
 	}
--- a/coordinator/starter.go
+++ b/coordinator/starter.go
@@ -159,7 +159,7 @@
 	case RefusedUnhealthy, RefusedCapacity:
 		observation.BackOffUntil(now.Add(refusalBackoff))
 	case RefusedTicket:
-		delete(lead.observer.Tickets, run.ID.Task.StepID())
+		lead.observer.RecordRefusedTicket(&run, now)
 	}
 	if answer.Refusal == RefusedStaleRun {
 		// The run may have started and ended; the next poll result lists its end.
--- a/scheduler/catalog.go
+++ b/scheduler/catalog.go
@@ -15,12 +15,13 @@
 // ErrInvalidCatalog reports a catalog that can't take effect.
 var ErrInvalidCatalog = eris.New("catalog is invalid")
 
-// Advice says that a policy outside the system chooses the workers of a queue. Its
-// fields are accepted but not used.
+// Advice says that a policy outside the system chooses the workers of a queue.
 type Advice struct {
+	// A request takes DecideMillis, and PeriodMillis more for each worker that it names.
 	DecideMillis int64 `json:"decide-ms"`
 	PeriodMillis int64 `json:"period-ms"`
-	ValidMillis  int64 `json:"valid-ms"`
+	// ValidMillis is how long the tickets of a response are valid.
+	ValidMillis int64 `json:"valid-ms"`
 }
 
 // Queue accepts jobs at an address.
--- a/scheduler/datacenter_test.go
+++ b/scheduler/datacenter_test.go
@@ -122,7 +122,8 @@
 	job := p.submit(1, "long", with(tasks(1, 1), func(s *Step) { s.SpeculativeCopies = true }))
 	p.plan()
 	want := []identifier.WorkerID{"w01"}
-	if diff := cmp.Diff(want, p.state.CandidateWorkers(p.observer, StepID{Job: job}, 9, p.now)); diff != "" {
+	request, _ := p.state.NextAdviceRequest(p.observer, []StepID{{Job: job}}, false, p.now, p.wall())
+	if diff := cmp.Diff(want, request.Workers); diff != "" {
 		t.Errorf("workers for which advice is requested differ:\n%s", diff)
 	}
 	p.observer.Observation("w01").MissedPolls = 1
--- a/scheduler/mover_test.go
+++ b/scheduler/mover_test.go
@@ -143,7 +143,7 @@
 	if diff := cmp.Diff([]StepID{{Job: job}}, plan.Advise); diff != "" || moved != 0 {
 		t.Errorf("%d runs are moved without a ticket, advice differs:\n%s", moved, diff)
 	}
-	p.observer.Tickets[StepID{Job: job}] = map[identifier.WorkerID]Ticket{"w01": {Incarnation: 1, Until: p.now.Add(time.Second)}}
+	p.advise(StepID{Job: job}, time.Second, "w01")
 	if _, moved := p.planStopping(); moved != 4 {
 		t.Errorf("%d runs are moved with a ticket, want 4", moved)
 	}
--- a/scheduler/observer.go
+++ b/scheduler/observer.go
@@ -92,9 +92,9 @@
 	ContactTimeout time.Duration
 	// Cordoned holds the workers that get no new runs because of upkeep.
 	Cordoned map[identifier.WorkerID]bool
-	// Tickets holds the workers that advice allows for each step.
-	Tickets map[StepID]map[identifier.WorkerID]Ticket
 
+	// advice holds what advice has said about each step of the active jobs.
+	advice       map[StepID]*stepAdvice
 	observations map[identifier.WorkerID]*WorkerObservation
 	// unanswered holds the starts without a response and when each was recorded,
 	// by worker.
@@ -110,29 +110,12 @@
 	runTimes *runTimes
 }
 
-// Ticket allows a step's tasks to start on one incarnation of a worker.
-type Ticket struct {
-	Text        string
-	Incarnation UnixMilli
-	Until       time.Time
-}
-
-// HasValidTicket reports whether a step has a valid ticket for any worker.
-func (o *Observer) HasValidTicket(step StepID, now time.Time) bool {
-	for _, ticket := range o.Tickets[step] {
-		if now.Before(ticket.Until) {
-			return true
-		}
-	}
-	return false
-}
-
 // NewObserver returns an observer without observations.
 func NewObserver(now time.Time, maxLease, contactTimeout time.Duration) *Observer {
 	return &Observer{
 		Since: now, MaxLease: maxLease, EarlierLease: maxLease, ContactTimeout: contactTimeout,
 		Cordoned:     map[identifier.WorkerID]bool{},
-		Tickets:      map[StepID]map[identifier.WorkerID]Ticket{},
+		advice:       map[StepID]*stepAdvice{},
 		observations: map[identifier.WorkerID]*WorkerObservation{},
 		unanswered:   map[identifier.WorkerID]map[RunID]time.Time{},
 		avoided:      map[TaskID]map[identifier.WorkerID]bool{},
@@ -442,9 +425,9 @@
 			delete(o.avoided, task)
 		}
 	}
-	for step := range o.Tickets {
+	for step := range o.advice {
 		if s.active[step.Job] == nil {
-			delete(o.Tickets, step)
+			delete(o.advice, step)
 		}
 	}
 }
--- a/scheduler/pass.go
+++ b/scheduler/pass.go
@@ -273,7 +273,8 @@
 		run.Checkpoint = u.state.Checkpoint
 	}
 	if u.job.Policy.NeedsAdvice {
-		run.Ticket = p.observer.Tickets[u.id()][c.worker.ID].Text
+		ticket, _ := p.observer.ticket(u.id(), c.worker, p.now)
+		run.Ticket = ticket.Text
 	}
 	return run
 }
@@ -299,8 +300,8 @@
 		return false
 	}
 	if u.job.Policy.NeedsAdvice {
-		ticket, known := p.observer.Tickets[u.id()][c.worker.ID]
-		return known && ticket.Incarnation == c.worker.Incarnation && p.now.Before(ticket.Until)
+		_, valid := p.observer.ticket(u.id(), c.worker, p.now)
+		return valid
 	}
 	return true
 }
--- a/scheduler/planner.go
+++ b/scheduler/planner.go
@@ -48,7 +48,7 @@
 	// assigned as a whole.
 	Assign []Assign
 	Stop   []Stop
-	// Advise holds the steps that need advice before they can start.
+	// Advise holds the steps with waiting tasks for which advice should be requested.
 	Advise []StepID
 	// Waiting counts the steps with waiting tasks, before this plan.
 	Waiting int
@@ -162,21 +162,13 @@
 	pass.acceleratorReserve = p.updateReserve(s, units, pass, now)
 	units = p.mover.addUnits(units, pass)
 	for u := range inTurns(units) {
-		if u.job.Policy.NeedsAdvice && !o.HasValidTicket(u.id(), now) {
-			if len(u.moving) == 0 || pass.hasRoom(u) {
-				plan.Advise = append(plan.Advise, u.id())
-			}
-			continue
+		left := len(u.tasks)
+		if !u.job.Policy.NeedsAdvice || o.HasValidTicket(u.id(), now) {
+			left -= p.placeUnit(&plan, pass, u)
 		}
-		if len(u.moving) > 0 {
-			plan.Stop = append(plan.Stop, p.mover.move(pass, u)...)
-			continue
+		if u.job.Policy.NeedsAdvice && left > 0 && pass.wantsAdvice(u) {
+			plan.Advise = append(plan.Advise, u.id())
 		}
-		assign, stops := pass.place(u)
-		if len(assign.Runs) > 0 {
-			plan.addAssign(u, assign)
-		}
-		plan.Stop = append(plan.Stop, stops...)
 	}
 	plan.Assign = append(plan.Assign, pass.placeCopies()...)
 	for _, id := range pass.fruitless {
@@ -185,6 +177,22 @@
 	return plan
 }
 
+// placeUnit adds the placement of a unit to the plan and returns the number of its tasks
+// that start or are moved now.
+func (p *Planner) placeUnit(plan *Plan, pass *placementPass, u *unit) int {
+	if len(u.moving) > 0 {
+		stops := p.mover.move(pass, u)
+		plan.Stop = append(plan.Stop, stops...)
+		return len(stops)
+	}
+	assign, stops := pass.place(u)
+	if len(assign.Runs) > 0 {
+		plan.addAssign(u, assign)
+	}
+	plan.Stop = append(plan.Stop, stops...)
+	return len(assign.Runs)
+}
+
 // runTimes returns the run times that a pass uses, nil for the declared ones.
 func (p *Planner) runTimes(s *State, now time.Time) *runTimes {
 	if !p.LearnedRunTimes {
