scheduler: decide by units what a guarantee covers of a team's urgent work

Cause: preemption of another team's urgent work compared amounts, what the team holds after the stop with its guarantee. A gang is released as a whole: a team with 4 guaranteed accelerators kept a gang of 16, as it would have held none afterwards. The guarantee does not cover such a gang at all.

Change: a team's urgent units (a run, or a gang as a whole) are covered in the order in which they began, each if it fits beside the earlier ones. Units that are not covered may be preempted. A covered one may be only if nothing else suffices and other urgent work of the team is covered in its place, and costs more than any other. Before, the amounts allowed to stop a covered gang as long as enough other work was left.

Ruled out: the limits of the search for runs to preempt.

--- a/scheduler/guarantee.go
+++ b/scheduler/guarantee.go
@@ -56,13 +56,6 @@
 	return total.Fits(guarantee.withDefaults(total))
 }
 
-// preservesGuarantee reports whether a team still holds its guarantee after
-// releasing some resources.
-func (t *teamUsage) preservesGuarantee(team identifier.TeamID, released Resources) bool {
-	left := t.held[team].Minus(released)
-	return t.guarantees[team].Fits(left.elementwiseMax(Resources{}))
-}
-
 // rankGuaranteed moves the tasks that their teams' guarantees cover to
 // guaranteedRank and returns all units in order. A unit that is not a gang is
 // split if only some of its tasks are covered.
@@ -119,21 +112,28 @@
 	t.held[job.Team] = t.held[job.Team].Plus(step.Demand().Times(runs))
 }
 
-// victimSet tracks the urgent and long-running runs chosen so far to free capacity
-// for a task. Its maps are nil until they are needed.
+// victimSet holds the runs chosen so far to free capacity for a task on one candidate.
+// Its maps are nil until they are needed.
 type victimSet struct {
-	// released is what each team loses when these runs stop.
-	released map[identifier.TeamID]Resources
-	// gangs holds the gangs of these runs, each of which stops as a whole.
-	gangs map[StepID]bool
+	chosen []*victim
+	// left is what is free on the candidate once these runs have ended, and cost the sum
+	// of their costs.
+	left Resources
+	cost float64
+	// released holds the keys of the urgent units that these runs belong to.
+	released map[RunID]bool
+	// mayReplace says that a covered unit may be among them if other work of its team
+	// is covered in its place, and replaced holds the teams of which one is.
+	mayReplace bool
+	replaced   map[identifier.TeamID]bool
 	// longRunning holds the runs of long-running tasks among them.
 	longRunning map[*Run]bool
 }
 
 // preemptible reports whether a run may be stopped for a unit. Runs that are
 // neither urgent nor long-running always may. A unit that a guarantee covers
-// may also preempt runs of other teams: urgent ones if their team keeps its
-// guarantee, and long-running ones if their step tolerates another unavailable
+// may also preempt runs of other teams: urgent ones if their team's guarantee still
+// covers as much, and long-running ones if their step tolerates another unavailable
 // task.
 func (p *placementPass) preemptible(u *unit, v *victim, set *victimSet) bool {
 	urgent := v.job.Policy.Priority == 0
@@ -143,31 +143,34 @@
 	if !u.guaranteed || v.job.Team == u.job.Team {
 		return false
 	}
-	task := v.run.ID.Task
-	if v.step.LongRunning && !p.state.mayStop(p.observer, task, p.stopped, set.longRunning) {
+	if v.step.LongRunning && !p.state.mayStop(p.observer, v.run.ID.Task, p.stopped, set.longRunning) {
 		return false
 	}
-	return !urgent || set.gangs[task.StepID()] || p.usage.preservesGuarantee(v.job.Team, set.released[v.job.Team].Plus(v.step.stopDemand()))
+	return !urgent || p.preservesGuarantee(v, set)
 }
 
-// add records that a run has been chosen as a victim. What its team loses counts
-// only for urgent runs, and once for each gang.
-func (s *victimSet) add(v *victim) {
+// addVictim adds a run to a set.
+func (p *placementPass) addVictim(set *victimSet, v *victim) {
+	set.chosen = append(set.chosen, v)
+	set.left = set.left.Plus(v.demand)
+	set.cost += v.cost
 	if v.step.LongRunning {
-		if s.longRunning == nil {
-			s.longRunning = map[*Run]bool{}
+		if set.longRunning == nil {
+			set.longRunning = map[*Run]bool{}
 		}
-		s.longRunning[v.run] = true
+		set.longRunning[v.run] = true
 	}
-	id := v.run.ID.Task.StepID()
-	if v.job.Policy.Priority != 0 || s.gangs[id] {
+	key := v.step.unitKey(v.run.ID)
+	if v.job.Policy.Priority != 0 || set.released[key] {
 		return
 	}
-	if s.gangs == nil {
-		s.gangs, s.released = map[StepID]bool{}, map[identifier.TeamID]Resources{}
+	if set.released == nil {
+		set.released, set.replaced = map[RunID]bool{}, map[identifier.TeamID]bool{}
+	}
+	set.released[key] = true
+	if p.isCovered(v) {
+		set.replaced[v.job.Team] = true
 	}
-	s.released[v.job.Team] = s.released[v.job.Team].Plus(v.step.stopDemand())
-	s.gangs[id] = v.step.Gang
 }
 
 // stopDemand returns the resources that are freed when a run of the step
--- a/scheduler/guarantee_test.go
+++ b/scheduler/guarantee_test.go
@@ -67,6 +67,69 @@
 	p.checkPlacements()
 }
 
+func gangOf(width int, accelerators int64) Step {
+	step := tasks(width, accelerators)
+	step.Gang = true
+	return step
+}
+
+// Guards against a guarantee that is not met because another team's urgent work, far over
+// its own guarantee, can't be released in part, and against one that is met by stopping
+// what the other team's guarantee covers.
+func TestGuaranteeIsReclaimedFromIndivisibleWork(t *testing.T) {
+	type job struct {
+		step Step
+		// stays says that no run of the job may be stopped.
+		stays bool
+	}
+	tests := []struct {
+		name    string
+		others  []job
+		claimed []Step
+	}{
+		{"gang", []job{{step: gangOf(8, 8)}}, []Step{tasks(1, 8)}},
+		{"gang, two tasks claimed", []job{{step: gangOf(8, 8)}}, []Step{tasks(2, 8)}},
+		{"gang, gang claimed", []job{{step: gangOf(8, 8)}}, []Step{gangOf(16, 1)}},
+		{"gang beside covered tasks", []job{{step: tasks(8, 1), stays: true}, {step: gangOf(7, 8)}}, []Step{tasks(2, 8)}},
+		{"covered gang beside tasks", []job{{step: gangOf(1, 8), stays: true}, {step: tasks(56, 1)}}, []Step{tasks(2, 8)}},
+		{"large tasks", []job{{step: tasks(1, 5), stays: true}, {step: tasks(7, 5)}}, []Step{tasks(2, 8)}},
+		{"two gangs", []job{{step: gangOf(4, 8)}, {step: gangOf(4, 8)}}, []Step{tasks(1, 8), tasks(8, 1)}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := newTwoTeamPool(t)
+			staying := map[identifier.JobID]int{}
+			for i, other := range test.others {
+				id := p.submitFor("b", i+1, "urgent", other.step)
+				p.plan()
+				if other.stays {
+					staying[id] = other.step.Width
+				}
+				p.now = p.now.Add(time.Second)
+			}
+			for i, step := range test.claimed {
+				id := p.submitFor("a", 100+i, "urgent", step)
+				p.settle()
+				if held, wanted := p.heldAccelerators(id), int64(step.Width)*step.Accelerators; held != wanted {
+					t.Errorf("team a holds %d of %d accelerators that its guarantee covers", held, wanted)
+				}
+			}
+			for id, width := range staying {
+				runs := p.state.RunsOfJob(id)
+				for _, run := range runs {
+					if run.ID.Number > 1 {
+						t.Errorf("%s of team b was stopped, though the team's guarantee covers it", run.ID.Task)
+					}
+				}
+				if len(runs) != width {
+					t.Errorf("%d of %d covered tasks of team b run", len(runs), width)
+				}
+			}
+			p.checkPlacements()
+		})
+	}
+}
+
 func TestReclaimKeepsOtherTeamsGuarantee(t *testing.T) {
 	p := newTwoTeamPool(t)
 	own := p.submitFor("b", 1, "urgent", tasks(8, 1))
--- a/scheduler/pass.go
+++ b/scheduler/pass.go
@@ -76,6 +76,10 @@
 	victimBuffer []*victim
 	// usage is what the teams hold, next to their guarantees.
 	usage *teamUsage
+	// held holds the urgent units of each team, once they are listed, and coverages what
+	// the guarantees of some teams cover of them.
+	held      map[identifier.TeamID][]heldUnit
+	coverages map[identifier.TeamID]*coverage
 	// acceleratorReserve is the number of accelerators kept free for urgent
 	// work.
 	acceleratorReserve int64
@@ -91,6 +95,7 @@
 	p := &placementPass{
 		state: s, observer: o, now: now, wall: wall,
 		byWorker: map[identifier.WorkerID]*candidate{}, stopped: map[*Run]bool{}, usage: newTeamUsage(s, o),
+		coverages: map[identifier.TeamID]*coverage{},
 	}
 	for _, worker := range s.Workers() {
 		if s.InEmptiedDataCenter(worker) || !o.Schedulable(worker, now) || !o.KnowsCapacity(s, worker, now) {
@@ -196,6 +201,7 @@
 	}
 	step, _, _ := job.step(run.ID.Task)
 	p.usage.charge(job, step, sign)
+	delete(p.coverages, job.Team)
 }
 
 // book reserves capacity on a candidate for one task of a unit.
@@ -432,34 +438,37 @@
 	if !c.victimsListed {
 		c.victims, c.victimsListed = victims(p.state, p.observer, c.worker.ID, p.wall), true
 	}
-	left := c.afterStops
-	var set victimSet
-	chosen := p.victimBuffer[:0]
-	cost := 0.0
-	for i := range c.victims {
-		if need.Fits(left) {
-			break
-		}
+	set := victimSet{chosen: p.victimBuffer[:0], left: c.afterStops}
+	p.chooseVictims(u, c, need, &set)
+	if u.guaranteed && !need.Fits(set.left) {
+		set.mayReplace = true
+		p.chooseVictims(u, c, need, &set)
+	}
+	p.victimBuffer = set.chosen
+	if !need.Fits(set.left) {
+		return set.chosen, set.cost, false
+	}
+	chosen, cost := withoutNeedless(set.chosen, set.cost, need, set.left)
+	return chosen, cost + p.replacementCost(chosen), true
+}
+
+// chooseVictims adds runs on a candidate to a set, the cheapest first, until the needed
+// capacity is left.
+func (p *placementPass) chooseVictims(u *unit, c *candidate, need Resources, set *victimSet) {
+	for i := 0; i < len(c.victims) && !need.Fits(set.left); i++ {
 		v := &c.victims[i]
-		if p.stopped[v.run] || !p.preemptible(u, v, &set) || !relievesShortage(v.demand, need, left) {
+		if p.stopped[v.run] || set.mayReplace && slices.Contains(set.chosen, v) ||
+			!p.preemptible(u, v, set) || !relievesShortage(v.demand, need, set.left) {
 			continue
 		}
-		left = left.Plus(v.demand)
-		cost += v.cost
-		set.add(v)
-		chosen = append(chosen, v)
-	}
-	p.victimBuffer = chosen
-	if !need.Fits(left) {
-		return chosen, cost, false
+		p.addVictim(set, v)
 	}
-	return withoutNeedless(chosen, cost, need, left)
 }
 
 // withoutNeedless leaves out the runs without which the needed capacity is free all
 // the same, the most expensive first: cheap runs chosen early may be needless beside
 // a larger one chosen later.
-func withoutNeedless(chosen []*victim, cost float64, need, left Resources) ([]*victim, float64, bool) {
+func withoutNeedless(chosen []*victim, cost float64, need, left Resources) ([]*victim, float64) {
 	for i := len(chosen) - 1; i >= 0; i-- {
 		without := left.Minus(chosen[i].demand)
 		if !need.Fits(without) {
@@ -469,7 +478,7 @@
 		cost -= chosen[i].cost
 		chosen = slices.Delete(chosen, i, i+1)
 	}
-	return chosen, cost, true
+	return chosen, cost
 }
 
 // relievesShortage reports whether a run holds any resource of which there is
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -157,11 +157,6 @@
 	return Resources{CPU: r.CPU * n, Memory: r.Memory * n, Accelerators: r.Accelerators * n}
 }
 
-// elementwiseMax returns the larger value of each resource.
-func (r Resources) elementwiseMax(o Resources) Resources {
-	return Resources{CPU: max(r.CPU, o.CPU), Memory: max(r.Memory, o.Memory), Accelerators: max(r.Accelerators, o.Accelerators)}
-}
-
 // withDefaults returns r with each resource that is 0 replaced by that of o.
 func (r Resources) withDefaults(o Resources) Resources {
 	pick := func(own, other int64) int64 {
