--- a/scheduler/guarantee_test.go
+++ b/scheduler/guarantee_test.go
@@ -130,6 +130,48 @@
 	}
 }
 
+// Guards against a guarantee that is not met because long-running tasks hold all workers:
+// those of the same team, and those of a step that states no limit of unavailable tasks.
+// A stated limit binds also then.
+func TestGuaranteeIsReclaimedFromLongRunningTasks(t *testing.T) {
+	tests := []struct {
+		name           string
+		team           identifier.TeamID
+		maxUnavailable int
+		claimed        Step
+		// held is what team a holds then, and stopped how many long-running tasks do not
+		// run.
+		held    int64
+		stopped int
+	}{
+		{"same team", "a", 1, tasks(1, 8), 8, 1},
+		{"same team, several tasks", "a", 2, tasks(2, 8), 16, 2},
+		{"same team, gang", "a", 2, gangOf(2, 8), 16, 2},
+		{"same team, more tasks than may be unavailable", "a", 1, tasks(2, 8), 8, 1},
+		{"same team, wider gang than may be unavailable", "a", 1, gangOf(2, 8), 0, 0},
+		{"other team, several tasks", "b", 2, tasks(2, 8), 16, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := newTwoTeamPool(t)
+			step := tasks(8, 8)
+			step.LongRunning, step.MaxUnavailable = true, test.maxUnavailable
+			lasting := p.submitFor(test.team, 1, "long", step)
+			p.plan()
+			p.reportAllAvailable(step.Width)
+			p.now = p.now.Add(time.Second)
+			claimed := p.submitFor("a", 2, "urgent", test.claimed)
+			p.settle()
+			if held := p.heldAccelerators(claimed); held != test.held {
+				t.Errorf("the urgent job holds %d accelerators, want %d", held, test.held)
+			}
+			if stopped := step.Width - len(p.state.RunsOfJob(lasting)); stopped != test.stopped {
+				t.Errorf("%d of %d long-running tasks do not run, want %d", stopped, step.Width, test.stopped)
+			}
+		})
+	}
+}
+
 func TestReclaimKeepsOtherTeamsGuarantee(t *testing.T) {
 	p := newTwoTeamPool(t)
 	own := p.submitFor("b", 1, "urgent", tasks(8, 1))
