scheduler: may-miss limits preemption only where a step states it

Cause: a limit of 0, which is how the wire says that there is none, was taken for a limit of no unavailable task.

Change: work that a guarantee covers may preempt such tasks, after all others that it may preempt.

--- a/scheduler/guarantee.go
+++ b/scheduler/guarantee.go
@@ -132,8 +132,9 @@
 
 // preemptible reports whether a run may be stopped for a unit. Runs that are
 // neither urgent nor long-running always may. A unit that a guarantee covers
-// may also preempt long-running ones if their step tolerates another unavailable task,
-// and urgent ones of other teams if their team's guarantee still covers as much.
+// may also preempt long-running ones if their step tolerates another unavailable task or
+// states no limit, and urgent ones of other teams if their team's guarantee still covers
+// as much.
 func (p *placementPass) preemptible(u *unit, v *victim, set *victimSet) bool {
 	urgent := v.job.Policy.Priority == 0
 	if !urgent && !v.step.LongRunning {
@@ -142,7 +143,8 @@
 	if !u.guaranteed || urgent && v.job.Team == u.job.Team {
 		return false
 	}
-	if v.step.LongRunning && !p.state.mayStop(p.observer, v.run.ID.Task, p.stopped, set.longRunning) {
+	limited := v.step.LongRunning && v.step.MaxUnavailable > 0
+	if limited && !p.state.mayStop(p.observer, v.run.ID.Task, p.stopped, set.longRunning) {
 		return false
 	}
 	return !urgent || p.preservesGuarantee(v, set)
--- a/scheduler/guarantee_test.go
+++ b/scheduler/guarantee_test.go
@@ -150,6 +150,10 @@
 		{"same team, more tasks than may be unavailable", "a", 1, tasks(2, 8), 8, 1},
 		{"same team, wider gang than may be unavailable", "a", 1, gangOf(2, 8), 0, 0},
 		{"other team, several tasks", "b", 2, tasks(2, 8), 16, 2},
+		{"other team, no limit stated", "b", 0, tasks(1, 8), 8, 1},
+		{"other team, no limit stated, several tasks", "b", 0, tasks(2, 8), 16, 2},
+		{"other team, no limit stated, gang", "b", 0, gangOf(16, 1), 16, 2},
+		{"same team, no limit stated", "a", 0, tasks(1, 8), 8, 1},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/scheduler/planner.go
+++ b/scheduler/planner.go
@@ -449,14 +449,19 @@
 	return all
 }
 
-// protectedCost is added to the cost of stopping urgent or long-running tasks.
-// It exceeds what any other run can lose.
+// protectedCost is added to the cost of stopping urgent or long-running tasks, and once
+// more for tasks whose step does not say that any may be unavailable. It exceeds what any
+// other run can lose.
 const protectedCost = 1e12
 
 // stopCost returns the cost of stopping a run.
 func stopCost(job *Job, run *Run, wall UnixMilli) float64 {
 	cost := lostWork(job, run, wall)
-	if step, _, _ := job.step(run.ID.Task); step.LongRunning || job.Policy.Priority == 0 {
+	step, _, _ := job.step(run.ID.Task)
+	if step.LongRunning || job.Policy.Priority == 0 {
+		cost += protectedCost
+	}
+	if step.LongRunning && step.MaxUnavailable == 0 {
 		cost += protectedCost
 	}
 	return cost
