scheduler: speculative copies use no guarantee

Seen by callers: with a copy of one of its urgent tasks running, a team's guarantee covers less than all of the team's urgent jobs, though they need no more than the guarantee: one of them may be preempted, or has to wait.

Cause: what a team holds was counted by runs, so that a task with a copy counted twice.

Change: a guarantee counts a task once, by its first live run. A copy is not covered and may be preempted.

Evidence: TestCopiesUseNoGuarantee fails before ("the gang that the guarantee of team b covers was stopped") and passes now.

--- a/scheduler/coverage.go
+++ b/scheduler/coverage.go
@@ -7,8 +7,9 @@
 	"cranberrystack.dev/cranberrystack/identifier"
 )
 
-// heldUnit is urgent work that a guarantee covers as a whole or not at all: a gang, or a
-// run that belongs to none. key is the id of the run, or of the gang's first member.
+// heldUnit is urgent work that a guarantee covers as a whole or not at all: a gang, or the
+// first live run of a task that belongs to none. key is the id of the run, or of the
+// gang's first member.
 type heldUnit struct {
 	key    RunID
 	run    *Run
@@ -49,7 +50,7 @@
 			continue
 		}
 		step, _, _ := job.step(id.Task)
-		if step == nil || step.Gang && p.state.gangMembers(run)[0] != run {
+		if step == nil || step.Gang && p.state.gangMembers(run)[0] != run || p.isCopy(id) {
 			continue
 		}
 		held[job.Team] = append(held[job.Team], heldUnit{key: step.unitKey(id), run: run, demand: step.stopDemand()})
@@ -65,6 +66,21 @@
 	return held
 }
 
+// isCopy reports whether an earlier run of the same task may be alive and is not being
+// stopped.
+func (p *placementPass) isCopy(id RunID) bool {
+	if !p.state.hasCopy(id.Task) {
+		return false
+	}
+	for earlier := id; earlier.Number > 1; {
+		earlier.Number--
+		if run := p.state.runs[earlier]; run != nil && !p.observer.Stopping(run) {
+			return true
+		}
+	}
+	return false
+}
+
 func compareRuns(a, b RunID) int {
 	switch {
 	case runLess(a, b):
--- a/scheduler/guarantee.go
+++ b/scheduler/guarantee.go
@@ -21,10 +21,10 @@
 	for i := range s.catalog.Teams {
 		t.guarantees[s.catalog.Teams[i].Name] = s.catalog.Teams[i].Guarantee
 	}
-	s.forEachUrgentStep(func(job *Job, step *Step, live int) { t.charge(job, step, live) })
+	s.forEachUrgentStep(func(job *Job, step *Step, state *StepState) { t.charge(job, step, state.tasksWithRuns(step)) })
 	for _, observation := range o.observations {
 		for id := range observation.Stopping {
-			if job := s.active[id.Task.Job]; job != nil && s.runs[id] != nil {
+			if job := s.active[id.Task.Job]; job != nil && s.runs[id] != nil && !s.hasCopy(id.Task) {
 				t.charge(job, s.StepOf(id.Task), -1)
 			}
 		}
@@ -32,16 +32,38 @@
 	return t
 }
 
-// forEachUrgentStep calls visit for each step of the active jobs of priority
-// 0, with the number of its runs that may be alive.
-func (s *State) forEachUrgentStep(visit func(job *Job, step *Step, live int)) {
+// tasksWithRuns returns the number of tasks that have runs which may be alive.
+func (t *StepState) tasksWithRuns(step *Step) int {
+	if !step.SpeculativeCopies {
+		return t.LiveRuns
+	}
+	count := 0
+	for i := range t.Tasks {
+		count += min(1, t.Tasks[i].LiveRuns)
+	}
+	return count
+}
+
+// hasCopy reports whether several runs of a task may be alive, of which a guarantee
+// counts one.
+func (s *State) hasCopy(id TaskID) bool {
+	job := s.jobs[id.Job]
+	if job == nil {
+		return false
+	}
+	step, _, task := job.step(id)
+	return step != nil && step.SpeculativeCopies && task.LiveRuns > 1
+}
+
+// forEachUrgentStep calls visit for each step of the active jobs of priority 0.
+func (s *State) forEachUrgentStep(visit func(job *Job, step *Step, state *StepState)) {
 	for _, job := range s.active {
 		if job.Policy.Priority != 0 {
 			continue
 		}
 		for k := range job.Occurrences {
 			for i := range job.Occurrences[k].Steps {
-				visit(job, &job.Request.Steps[i], job.Occurrences[k].Steps[i].LiveRuns)
+				visit(job, &job.Request.Steps[i], &job.Occurrences[k].Steps[i])
 			}
 		}
 	}
--- a/scheduler/guarantee_test.go
+++ b/scheduler/guarantee_test.go
@@ -254,3 +254,117 @@
 		}
 	}
 }
+
+// Guards against speculative copies that count as work of their own: the guarantee of
+// their team must still cover the rest of what the team wants, and not the copies.
+func TestCopiesUseNoGuarantee(t *testing.T) {
+	p := newTwoTeamPool(t)
+	for i := 3; i < 8; i++ {
+		p.observer.Cordoned[identifier.WorkerID(fmt.Sprintf("w%02d", i))] = true
+	}
+	copied := p.submitFor("b", 1, "urgent", copyStep(4))
+	p.plan()
+	run := *p.state.RunsOfJob(copied)[0]
+	run.ID.Number++
+	if result := p.apply(Command{Assign: &Assign{Runs: []Run{run}}}); result[0].Outcome != OutcomeDone {
+		t.Fatalf("copy: %+v", result[0])
+	}
+	p.now = p.now.Add(time.Second)
+	gang := p.submitFor("b", 2, "urgent", gangOf(4, 1))
+	p.plan()
+	borrowed := p.submitFor("b", 3, "urgent", tasks(15, 1))
+	p.plan()
+	claimed := p.submitFor("a", 4, "urgent", tasks(16, 1))
+	p.settle()
+	if held := p.heldAccelerators(claimed); held != 16 {
+		t.Errorf("team a holds %d of 16 accelerators", held)
+	}
+	if held := p.heldAccelerators(gang); held != 4 || p.state.Job(gang).Occurrences[0].Steps[0].RunNumber != 1 {
+		t.Errorf("the gang that the guarantee of team b covers was stopped")
+	}
+	if held := p.heldAccelerators(copied) + p.heldAccelerators(borrowed); held != 4 {
+		t.Errorf("the other jobs of team b hold %d accelerators, want the 4 that its guarantee covers beside the gang", held)
+	}
+}
+
+// Two teams submit urgent gangs and tasks, often beyond their guarantees, and
+// long-running tasks with and without a limit; jobs are cancelled in between. A team whose
+// urgent jobs need no more than its guarantee must hold all of that, and none of its urgent
+// runs may be stopped; a limit of unavailable tasks must be kept.
+func TestGuaranteesUnderRandomGangsAndLongRunningTasks(t *testing.T) {
+	const seeds = 300
+	guaranteed := map[identifier.TeamID]int64{"a": 16, "b": 8}
+	for seed := range uint64(seeds) {
+		random := rand.New(rand.NewPCG(seed, 11))
+		p := newTwoTeamPool(t)
+		wanted := map[identifier.TeamID]int64{}
+		limited := tasks(1+random.IntN(20), 1)
+		limited.LongRunning, limited.MaxUnavailable = true, 1+random.IntN(3)
+		p.submitFor("a", 999, "long", limited)
+		var urgent []identifier.JobID
+		for round := range 12 {
+			team := []identifier.TeamID{"a", "b"}[random.IntN(2)]
+			step := tasks(1+random.IntN(30), 1)
+			step.Gang = random.IntN(2) == 0
+			queue := QueueName("urgent")
+			switch random.IntN(4) {
+			case 0:
+				queue, step.LongRunning, step.Gang = "long", true, false
+			case 1:
+				step.Width = 1 + random.IntN(4)
+			}
+			id := p.submitFor(team, round+1, queue, step)
+			if queue == "urgent" {
+				wanted[team] += int64(step.Width)
+				urgent = append(urgent, id)
+			}
+			if len(urgent) > 0 && random.IntN(3) == 0 {
+				i := random.IntN(len(urgent))
+				job := p.state.Job(urgent[i])
+				wanted[job.Team] -= int64(job.Request.Steps[0].Width)
+				p.apply(Command{Cancel: &Cancel{Job: job.ID}})
+				urgent = append(urgent[:i], urgent[i+1:]...)
+			}
+			for range 4 {
+				p.checkGuaranteedStops(seed, round, limited.MaxUnavailable, wanted, guaranteed)
+			}
+			held := map[identifier.TeamID]int64{}
+			for _, id := range urgent {
+				held[p.state.Job(id).Team] += p.heldAccelerators(id)
+			}
+			for team, guarantee := range guaranteed {
+				if wanted[team] <= guarantee && held[team] != wanted[team] {
+					t.Fatalf("seed %d, round %d: team %s holds %d accelerators, want %d", seed, round, team, held[team], wanted[team])
+				}
+			}
+			p.checkPlacements()
+			// A search in vain may have been before a job was cancelled.
+			p.now = p.now.Add(searchPause)
+		}
+	}
+}
+
+// checkGuaranteedStops plans once and ends the stopped runs.
+func (p *testPool) checkGuaranteedStops(seed uint64, round, limit int, wanted, guaranteed map[identifier.TeamID]int64) {
+	p.t.Helper()
+	for id := range p.state.runs {
+		if p.state.StepOf(id.Task).LongRunning {
+			p.reportProgress(id, 100, 0)
+		}
+	}
+	plan := p.plan()
+	unavailable := 0
+	for _, stop := range plan.Stop {
+		job := p.state.Job(stop.Run.Task.Job)
+		if job.Active() && job.Policy.Priority == 0 && wanted[job.Team] <= guaranteed[job.Team] {
+			p.t.Fatalf("seed %d, round %d: %s of team %s is stopped, which its guarantee covers: %s", seed, round, stop.Run, job.Team, stop.Reason)
+		}
+		if job.Request.Steps[0].MaxUnavailable > 0 {
+			unavailable++
+		}
+	}
+	if unavailable > limit {
+		p.t.Fatalf("seed %d, round %d: %d tasks are stopped at once, want at most %d", seed, round, unavailable, limit)
+	}
+	p.endStopped(plan)
+}
--- a/scheduler/pass.go
+++ b/scheduler/pass.go
@@ -200,7 +200,9 @@
 		return
 	}
 	step, _, _ := job.step(run.ID.Task)
-	p.usage.charge(job, step, sign)
+	if !p.state.hasCopy(run.ID.Task) {
+		p.usage.charge(job, step, sign)
+	}
 	delete(p.coverages, job.Team)
 }
 
--- a/scheduler/reserve.go
+++ b/scheduler/reserve.go
@@ -40,9 +40,9 @@
 // hold, without long-running ones.
 func (s *State) urgentAccelerators() int64 {
 	held := int64(0)
-	s.forEachUrgentStep(func(_ *Job, step *Step, live int) {
+	s.forEachUrgentStep(func(_ *Job, step *Step, state *StepState) {
 		if !step.LongRunning {
-			held += step.Accelerators * int64(live)
+			held += step.Accelerators * int64(state.LiveRuns)
 		}
 	})
 	return held
