scheduler: stop no runs in several racks for a gang that waits for one

Seen by callers: work is preempted for an urgent gang that needs one rack (rack_local), and the gang does not start; others take the capacity again.

Cause: where no rack sufficed, preemption chose runs in any racks at once, while the placement still waited for one rack.

Change: both leave the rack under the same condition (mayLeaveRack).

Evidence: TestGangThatNeedsOneRackStopsNoRunsElsewhere fails before ("2 runs are stopped while the gang waits for a rack") and passes now.

--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -70,12 +70,15 @@
 	if best != nil {
 		return best
 	}
-	if u.rackWaitOver || !p.anyRackCanHold(u) {
+	if p.mayLeaveRack(u) {
 		return p.fitLikePaces(u, nil, kind)
 	}
 	return nil
 }
 
+// mayLeaveRack reports whether a gang with SameRack may be placed in several racks.
+func (p *placementPass) mayLeaveRack(u *unit) bool { return u.rackWaitOver || !p.anyRackCanHold(u) }
+
 // gangCost returns the total cost of placing a gang on the chosen candidates.
 func (p *placementPass) gangCost(u *unit, candidates []*candidate, kind capacityKind) float64 {
 	cost := u.gangSlowCost(candidates)
@@ -152,7 +155,8 @@
 
 // preemptGang books capacity for a gang by preempting other runs. With
 // SameRack, it chooses the rack where that costs least, or any workers if no
-// rack suffices. It stops nothing unless the whole gang then fits.
+// rack suffices and the gang need not be in one rack. It stops nothing unless the whole
+// gang then fits.
 func (p *placementPass) preemptGang(u *unit) []Stop {
 	if !u.step.SameRack {
 		return p.preemptAmong(u, nil, u.tasks, false).stops
@@ -169,6 +173,9 @@
 			best, lowest = rack, result.cost
 		}
 	}
+	if best == nil && !p.mayLeaveRack(u) {
+		return nil
+	}
 	return p.preemptAmong(u, best, u.tasks, false).stops
 }
 
--- a/scheduler/planner_test.go
+++ b/scheduler/planner_test.go
@@ -410,3 +410,34 @@
 		})
 	}
 }
+
+// Guards against runs that are stopped for a gang in several racks while it still waits for
+// one, so that others take the capacity.
+func TestGangThatNeedsOneRackStopsNoRunsElsewhere(t *testing.T) {
+	p := newPool(t, 8)
+	for rack := range 2 {
+		lasting, other := tasks(3, 8), tasks(1, 8)
+		lasting.LongRunning = true
+		lasting.DataRack, other.DataRack = fmt.Sprintf("r1-%d", rack), fmt.Sprintf("r1-%d", rack)
+		p.submit(1+rack, "long", lasting, other)
+	}
+	p.plan()
+	if placed := len(p.state.runs); placed != 8 {
+		t.Fatalf("%d runs are placed, want 8", placed)
+	}
+	job := p.submit(3, "urgent", with(gangOf(2, 8), func(s *Step) { s.SameRack, s.EstimateMillis = true, 4000 }))
+	p.state.Job(job).Team = "without a guarantee"
+	for range 9 {
+		if plan := p.plan(); len(plan.Stop) > 0 {
+			t.Fatalf("%d runs are stopped while the gang waits for a rack", len(plan.Stop))
+		}
+		p.now = p.now.Add(100 * time.Millisecond)
+	}
+	for range 6 {
+		p.now = p.now.Add(100 * time.Millisecond)
+		p.endStopped(p.plan())
+	}
+	if placed := len(p.state.RunsOfJob(job)); placed != 2 {
+		t.Errorf("%d members are placed after the wait, want 2", placed)
+	}
+}
