scheduler: guaranteed work waits at most a second for its rack

Seen by callers: a guaranteed job whose data is in a rack, or a gang that needs one rack, does not start in time while work that may not be preempted holds that rack, although other racks have capacity that it may reclaim.

Cause: the wait for a rack is a quarter of the expected run time, whatever the guarantee says about the start.

Change: it is at most one second for work that a guarantee covers, which leaves time for stops.

Evidence: TestGuaranteedWorkWaitsShortlyForItsRack fails before in its three cases ("holds 8 of 16 accelerators after 1.5 s", 0 and 0) and passes now.

--- a/scheduler/guarantee_test.go
+++ b/scheduler/guarantee_test.go
@@ -255,6 +255,32 @@
 	}
 }
 
+// Guards against guaranteed work that waits for its rack as long as other work would, while
+// what holds the rack may not be preempted.
+func TestGuaranteedWorkWaitsShortlyForItsRack(t *testing.T) {
+	sameRack := func(s *Step) { s.SameRack = true }
+	nearData := func(s *Step) { s.DataRack = "r1-0" }
+	for _, claimed := range []Step{with(tasks(2, 8), nearData), with(gangOf(2, 8), nearData), with(gangOf(2, 8), sameRack)} {
+		p := newTwoTeamPool(t)
+		for i := range 2 {
+			p.submitFor("b", 1+i, "long", with(tasks(4, 8), func(s *Step) {
+				s.LongRunning, s.MaxUnavailable, s.DataRack = true, 1, fmt.Sprintf("r1-%d", i)
+			}))
+		}
+		p.plan()
+		p.reportAllAvailable(8)
+		claimed.EstimateMillis = 60_000
+		id := p.submitFor("a", 3, "urgent", claimed)
+		for range 15 {
+			p.endStopped(p.plan())
+			p.now = p.now.Add(100 * time.Millisecond)
+		}
+		if held := p.heldAccelerators(id); held != 16 {
+			t.Errorf("the job holds %d of 16 accelerators after 1.5 s, near %q, same rack: %t", held, claimed.DataRack, claimed.SameRack)
+		}
+	}
+}
+
 // Guards against speculative copies that count as work of their own: the guarantee of
 // their team must still cover the rest of what the team wants, and not the copies.
 func TestCopiesUseNoGuarantee(t *testing.T) {
--- a/scheduler/pass.go
+++ b/scheduler/pass.go
@@ -316,14 +316,18 @@
 
 // rackWaitOver reports whether a unit should no longer wait for its preferred
 // rack. It waits about as long as it would lose on another rack, for which its
-// expected run time is taken, or a quarter of that if it may preempt. It does not
-// wait if no candidate of its data rack is large enough, and at most
-// maxIdleRackWait while its job has no run and mostlyFree holds.
+// expected run time is taken, or a quarter of that if it may preempt, and at most
+// maxGuaranteedRackWait if a guarantee covers it. It does not wait if no candidate of its
+// data rack is large enough, and at most maxIdleRackWait while its job has no run and
+// mostlyFree holds.
 func (p *placementPass) rackWaitOver(u *unit) bool {
 	limit := time.Duration(p.observer.runTimes.meanMillis(u.job, u.stepIndex)) * time.Millisecond
 	if u.mayPreempt {
 		limit /= 4
 	}
+	if u.guaranteed {
+		limit = min(limit, maxGuaranteedRackWait)
+	}
 	switch {
 	case u.waited >= limit:
 		return true
@@ -337,6 +341,8 @@
 	// maxIdleRackWait bounds how long a job without any run waits for its rack
 	// while many accelerators are free.
 	maxIdleRackWait = 2 * time.Second
+	// maxGuaranteedRackWait leaves time for stops before a guarantee has to be met.
+	maxGuaranteedRackWait = time.Second
 	// mostlyFreeShare is the share of free accelerators, over all pools, from
 	// which mostlyFree holds.
 	mostlyFreeShare = 0.4
