placer: jobs of a withdrawn guarantee become borrowers

Seen by callers: after a change of the lists that takes a guarantee from one plan and gives it to another, jobs of the first keep what the second is now guaranteed, until they end.

Cause: a job that was placed within a guarantee stayed guaranteed whatever the lists said later, and guaranteed jobs are never preempted.

Change: with new lists, jobs that use more of a guarantee than there is of it in the data centre become borrowers, those submitted last first. Jobs within what is left stay guaranteed.

Evidence: TestWithdrawnGuaranteeIsNotKept fails before ("claim is queued, not running within 1m0s") and passes now.

--- a/placer/engine.go
+++ b/placer/engine.go
@@ -148,9 +148,11 @@
 	}
 }
 
-// SetLists replaces the lists of plans and allowances.
+// SetLists replaces the lists of plans and allowances. Jobs that use more of a guarantee
+// than the lists still give become borrowers.
 func (e *Engine) SetLists(view configurer.View) {
 	e.lists = newListIndex(view)
+	e.demoteExcess()
 	e.scheduleNeeded = true
 }
 
--- a/placer/guarantee.go
+++ b/placer/guarantee.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sort"
 
 	"cranberrystack.dev/cranberrystack/configurer"
 	"cranberrystack.dev/cranberrystack/identifier"
@@ -195,6 +196,42 @@
 	return guaranteed.PerPart%wanted.PerPart == 0
 }
 
+// demoteExcess makes the guaranteed jobs that were submitted last borrowers where more of
+// them use a guarantee than there are of it in this data centre.
+func (e *Engine) demoteExcess() {
+	active := e.active.all()
+	for key, used := range e.usage.guarantees {
+		allowance, _ := e.lists.allowance(key.Plan, key.Accelerator)
+		excess := used - e.localCount(allowance, key.Shape)
+		if excess <= 0 {
+			continue
+		}
+		var users []*Job
+		for _, job := range active {
+			if job.Guaranteed && job.GuaranteeKey == key {
+				users = append(users, job)
+			}
+		}
+		sort.Slice(users, func(i, j int) bool {
+			if !users[i].Submitted.Equal(users[j].Submitted) {
+				return users[i].Submitted.After(users[j].Submitted)
+			}
+			return users[i].Spec.ID > users[j].Spec.ID
+		})
+		for _, job := range users[:min(excess, len(users))] {
+			e.demote(job)
+		}
+	}
+}
+
+// demote makes a guaranteed job a borrower.
+func (e *Engine) demote(job *Job) {
+	e.clearGuaranteedPlacement(job)
+	e.usage.guarantees[job.GuaranteeKey]--
+	job.Guaranteed, job.GuaranteeKey = false, GuaranteeKey{}
+	e.markDirty(job)
+}
+
 // preservesGuarantees reports whether every unused guarantee still has a
 // separate placement if the given placement is allocated to key.
 func (e *Engine) preservesGuarantees(accelerator string, placement []packer.Piece, key GuaranteeKey) bool {
