placer: a plan's own borrowers make room for its guarantee

Seen by callers: a job that an unused guarantee of its plan covers waits for as long as the plan's own borrowed jobs take, if these hold all that the plan or the team may use.

Cause: a job over the plan's limit or the team's quota was passed over before its guarantee was looked at, and nothing preempted the plan's own borrowers.

Change: such a job preempts borrowers of its own plan, the cheapest first, as many as the limits need, once it is known that the guaranteed shape has a placement. The plan gets no new borrowers meanwhile.

Evidence: TestGuaranteeIsReclaimedFromOwnBorrowers fails before in the three cases with a limit ("claim is queued, not running within 1m0s") and passes now; without a limit no borrower is preempted.

--- a/placer/guarantee.go
+++ b/placer/guarantee.go
@@ -102,20 +102,6 @@
 	return false
 }
 
-// localLimit returns this data centre's share of a plan's limit: what is
-// guaranteed here and an equal share of the rest. Data centres that are
-// partitioned from each other thus never exceed the limit together.
-func (e *Engine) localLimit(allowance configurer.Allowance) int {
-	local, global := 0, 0
-	for _, guarantee := range allowance.Guarantees {
-		total := guarantee.Shape.Total()
-		global += guarantee.Count * total
-		local += total * localShare(guarantee, e.dataCenter)
-	}
-	unguaranteed := max(allowance.Limit-global, 0)
-	return local + unguaranteed/e.dataCenters
-}
-
 func localShare(guarantee configurer.Guarantee, dataCenter identifier.DataCenterID) int {
 	for _, share := range guarantee.Shares {
 		if share.DataCenter == dataCenter {
@@ -125,27 +111,6 @@
 	return 0
 }
 
-// withinLimits reports whether a job may start now under its plan's limit and
-// its team's quota.
-func (e *Engine) withinLimits(job *Job) bool {
-	spec := &job.Spec
-	plan, known := e.lists.plan(spec.Plan)
-	if !known {
-		return false
-	}
-	allowance, known := e.lists.allowance(spec.Plan, spec.Accelerator)
-	if !known {
-		return false
-	}
-	total := spec.Shape.Total()
-	if e.usage.plans[planKey{spec.Plan, spec.Accelerator}]+total > e.localLimit(allowance) {
-		return false
-	}
-	team, _ := findTeam(plan, spec.Team)
-	used := e.usage.teams[teamKey{spec.Plan, spec.Team, spec.Accelerator}]
-	return team.Quota == 0 || used+total <= team.Quota
-}
-
 // findUnusedGuarantee returns the smallest guarantee of the job's plan that is
 // unused in this data centre and covers the job's shape.
 func (e *Engine) findUnusedGuarantee(spec *Spec) (GuaranteeKey, bool) {
--- a/placer/reclaim.go
+++ b/placer/reclaim.go
@@ -27,26 +27,36 @@
 		job.lastSearch = now
 		return false
 	}
-	grace := e.options.grace
-	if job.Spec.Urgent {
-		grace = min(grace, e.options.urgentGrace)
-	}
-	r := e.newReservation(job, option.pieces, now.Add(grace+reclaimMargin), true)
+	r := e.newReservation(job, option.pieces, now.Add(e.reclaimGrace(job)+reclaimMargin), true)
 	r.guarantee, r.placement = key, option.placement
 	e.dropOverlappingReservations(r)
 	e.reservations[job.Spec.ID] = r
 	for _, borrower := range option.victims {
-		borrower.Reclaims++
-		reason := "space reclaimed for a guarantee of plan " + string(job.Spec.Plan)
-		victimGrace := grace
-		if !borrower.Spec.Checkpointable {
-			victimGrace = 0
-		}
-		e.requeueRunning(borrower, reason, borrower.Spec.Checkpointable, victimGrace, now)
+		e.preempt(borrower, job, now)
 	}
 	return true
 }
 
+// reclaimGrace returns how long the borrowers that are preempted for a job have to
+// checkpoint.
+func (e *Engine) reclaimGrace(job *Job) time.Duration {
+	if job.Spec.Urgent {
+		return min(e.options.grace, e.options.urgentGrace)
+	}
+	return e.options.grace
+}
+
+// preempt stops a borrower and returns it to the queue, for a job within its guarantee.
+func (e *Engine) preempt(borrower, claimant *Job, now time.Time) {
+	grace := e.reclaimGrace(claimant)
+	if !borrower.Spec.Checkpointable {
+		grace = 0
+	}
+	borrower.Reclaims++
+	reason := "space reclaimed for a guarantee of plan " + string(claimant.Spec.Plan)
+	e.requeueRunning(borrower, reason, borrower.Spec.Checkpointable, grace, now)
+}
+
 // dropOverlappingReservations drops the reservations of borrowers that share a
 // worker with one for a guarantee.
 func (e *Engine) dropOverlappingReservations(r *reservation) {
--- a/placer/schedule.go
+++ b/placer/schedule.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -25,23 +26,28 @@
 // schedule starts waiting jobs. Jobs within their guarantee come first, urgent ones
 // before others, and may preempt borrowers. All others follow as borrowers, by the
 // share that their plan and team already use, then urgent ones before others, then
-// by age.
+// by age. A plan gets no new borrowers while it waits for others to stop.
 func (e *Engine) schedule(now time.Time) {
 	waiting := append([]*Job(nil), e.queue...)
 	var borrowers []*Job
 	blocked := map[searchKey]bool{}
+	reclaiming := map[planKey]bool{}
 	for _, job := range urgentFirst(waiting) {
+		guarantee, found := e.findUnusedGuarantee(&job.Spec)
 		if !e.withinLimits(job) {
+			if found && e.reclaimLimit(job, guarantee, now) {
+				reclaiming[planKey{job.Spec.Plan, job.Spec.Accelerator}] = true
+			}
 			continue
 		}
 		key := e.searchKeyOf(job)
-		guarantee, found := e.findUnusedGuarantee(&job.Spec)
 		if found && !blocked[key] && e.startGuaranteed(job, guarantee, now) {
 			continue
 		}
 		blocked[key] = true
 		borrowers = append(borrowers, job)
 	}
+	borrowers = slices.DeleteFunc(borrowers, func(job *Job) bool { return reclaiming[planKey{job.Spec.Plan, job.Spec.Accelerator}] })
 	e.startBorrowers(borrowers, now)
 }
 
