forwarder, coordinator: refuse documents that are nested too deeply

Seen by callers: after one worker's report, job or catalog nested 9,999 levels deep, the instance that took it answers the next calls with "no leader can be reached". A catalog nested 9,997 levels or more gets no clear answer, and calls of others that are committed with it have no effect.

Cause: a decoder takes 10,000 levels of a whole message. The same document is deeper in the message that forwards it, and deeper again in the log entry, so that one instance can read what the next one can't. The sender of a message that the leader can't read takes the leader for unreachable; an entry that can't be read is skipped by every instance.

Change: a call whose document is nested deeper than 100 levels is refused as invalid, before it is forwarded and by the leader.

Ruled out: processes that end. No test saw one end by itself.

--- a/coordinator/calls.go
+++ b/coordinator/calls.go
@@ -40,6 +40,9 @@
 	if !c.node.HoldsLeaderLease() {
 		return c.notLeader()
 	}
+	if err := call.Check(); err != nil {
+		return problemAnswer(responder.CodeInvalid, err.Error())
+	}
 	switch call.Kind {
 	case forwarder.KindSubmit:
 		return c.submit(ctx, call)
--- a/coordinator/contacts.go
+++ b/coordinator/contacts.go
@@ -135,7 +135,7 @@
 // answersReport reports whether a worker's report needs nothing but its contact
 // passed on, and queues that.
 func (c *Coordinator) answersReport(call forwarder.Call, now time.Time) bool {
-	if c.config.PassOn == nil {
+	if c.config.PassOn == nil || call.Check() != nil {
 		return false
 	}
 	worker, r, refused := parseReport(call.Worker, call.Document)
--- a/cranberryd/node/node_test.go
+++ b/cranberryd/node/node_test.go
@@ -25,6 +25,11 @@
 "listen":{%s},"metrics":"%s:9464","bootstrap":true,"data-folder":"%s"}`
 
 func startNode(t *testing.T, network *faker.Network, name, role, listen string) *node.Node {
+	t.Helper()
+	return startLoggedNode(t, network, name, role, listen, log.NewNopLogger())
+}
+
+func startLoggedNode(t *testing.T, network *faker.Network, name, role, listen string, logger log.Logger) *node.Node {
 	t.Helper()
 	settings, err := loader.LoadNode(fmt.Appendf(nil, nodeSettings, name, role, name, listen, name, t.TempDir()))
 	if err != nil {
@@ -33,7 +38,7 @@
 	startedAt := time.Now()
 	n, err := node.New(settings, node.Dependencies{
 		DroppedLines: func() int64 { return 7 }, SetLogRate: func(int) {},
-		Listen: network.Listen, Dial: network.Dial(name), Logger: log.NewNopLogger(),
+		Listen: network.Listen, Dial: network.Dial(name), Logger: logger,
 		Clock: func() time.Duration { return time.Since(startedAt) },
 	})
 	if err != nil {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -195,8 +195,12 @@
 // done then. If the call changes anything and may have been received, Do sends it
 // again for up to DefaultUnknownOutcomeTimeout before it answers with
 // CodeOutcomeUnknown. It lets an attempt that is under way at the end of these times
-// run on. Once ctx has ended, Do answers likewise, without another attempt.
+// run on. Once ctx has ended, Do answers likewise, without another attempt. A call that
+// fails its Check is not sent.
 func (f *Forwarder) Do(ctx context.Context, call Call) Answer {
+	if err := call.Check(); err != nil {
+		return Answer{Code: responder.CodeInvalid, Reason: err.Error()}
+	}
 	start := time.Now()
 	unknown := false
 	timeout := f.options.attemptTimeout
