scheduler, coordinator: refuse reports with absurd times, numbers or addresses

Seen by callers: after one report of another writer with a worker's id and a start time in the year 3000, the worker gets no runs any more and a job that needs it never starts; likewise with a sequence number of 2^63-1. Looked for on the operators' report of one odd entry.

Cause: the range of a start time was only what sums can hold, and sequence numbers, the clock and the port were not checked. The worker's own reports then count as older than the odd one. A clock near 2^63 makes deadlines on the worker's clock overflow, and hides all later ones.

Change: a report is refused if its start time is more than an hour ahead, its sequence number or clock is out of range, or its address has no host or no valid port. A clock out of range is ignored wherever a contact is recorded.

Evidence: TestOddReportsLeaveWorkersInUse fails before ("job is queued after 5s") and passes now, also after a restart of all instances; new cases of TestAbsurdReportsAreInvalid and of TestOddEntriesKeepLeaderFollowed, TestAbsurdClockIsIgnored.

The fakes of the tests and of the development mode report addresses with a port.

--- a/coordinator/cluster_test.go
+++ b/coordinator/cluster_test.go
@@ -213,7 +213,7 @@
 		dataCenter = c.dataCenterOf(id)
 	}
 	data, err := json.Marshal(reportBody{
-		Pool: "pool", Address: string(id), DataCenter: string(dataCenter), State: string(state), Sequence: sequence,
+		Pool: "pool", Address: string(id) + ":1", DataCenter: string(dataCenter), State: string(state), Sequence: sequence,
 		Incarnation: int64(worker.Incarnation), Clock: int64(clock), Remaining: 10000, Machine: "m-" + string(id), Labels: worker.Labels, Capacity: worker.CurrentCapacity(),
 	})
 	if err != nil {
--- a/coordinator/contacts.go
+++ b/coordinator/contacts.go
@@ -138,7 +138,7 @@
 	if c.config.PassOn == nil || call.Check() != nil {
 		return false
 	}
-	worker, r, refused := parseReport(call.Worker, call.Document)
+	worker, r, refused := parseReport(call.Worker, call.Document, wallTime())
 	if refused != "" {
 		return false
 	}
--- a/coordinator/contacts_test.go
+++ b/coordinator/contacts_test.go
@@ -50,7 +50,7 @@
 		report := func() forwarder.Answer {
 			sequence, clock := worker.NextReport()
 			data, err := json.Marshal(reportBody{
-				Pool: "pool", Address: string(id), DataCenter: "dc", State: string(scheduler.WorkerReady), Sequence: sequence,
+				Pool: "pool", Address: string(id) + ":1", DataCenter: "dc", State: string(scheduler.WorkerReady), Sequence: sequence,
 				Incarnation: int64(worker.Incarnation), Clock: int64(clock), Machine: "m-" + string(id), Labels: worker.Labels, Capacity: worker.Capacity,
 			})
 			if err != nil {
--- a/coordinator/entries_test.go
+++ b/coordinator/entries_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cranberrystack.dev/cranberrystack/forwarder"
+	"cranberrystack.dev/cranberrystack/identifier"
 	"cranberrystack.dev/cranberrystack/responder"
 	"cranberrystack.dev/cranberrystack/scheduler"
 )
@@ -43,3 +44,45 @@
 		}
 	})
 }
+
+// Guards against odd entries of another writer that take a worker out of use, or that an
+// instance does not survive: both workers must be usable afterwards, also once all
+// instances have restarted from their logs.
+func TestOddReportsLeaveWorkersInUse(t *testing.T) {
+	odd := []string{
+		`"born":32503680000000,"sequence":1`, `"born":9223372036854775807,"sequence":1`, `"born":1e400,"sequence":1`,
+		`"born":1,"sequence":9223372036854775807`, `"born":1,"sequence":1e30`, `"born":1,"sequence":-1`,
+		`"born":now,"sequence":1,"clock-ms":9223372036854775807`, `"born":now,"sequence":1,"address":"w-00:65536"`,
+		`"born":now,"sequence":1,"address":"w-00:0"`, `"born":now,"sequence":1,"capacity":{"accelerators":1e40}`,
+		`"born":now,"sequence":1,"labels":` + strings.Repeat("[", 9999) + strings.Repeat("]", 9999),
+		`"born":now,"sequence":1,"extra":` + strings.Repeat(`{"a":`, 9998) + "1" + strings.Repeat("}", 9998),
+	}
+	inCluster(t, 96, 4, 2, func(c *cluster) {
+		for _, fields := range odd {
+			for _, id := range []identifier.WorkerID{"w-00", "w-77"} {
+				document := `{"worker-pool":"pool","address":"w-00:1","data-center":"dc","state":"ready","clock-ms":1,"capacity":{"cpu-milli":64000,"memory-mib":128000,"accelerators":8},` +
+					strings.Replace(fields, "now", fmt.Sprint(time.Now().UnixMilli()), 1) + `}`
+				for _, h := range c.hosts {
+					running, f := h.running()
+					answer := running.Relay(f.Do)(context.Background(), forwarder.Call{Kind: forwarder.KindReport, Worker: id, Document: json.RawMessage(document)})
+					if answer.Code != responder.CodeInvalid {
+						t.Errorf("%s answers %.80s of %s with %s", h.name, fields, id, answer.Code)
+					}
+				}
+			}
+		}
+		both := step(2, 300, 8)
+		both.Gang = true
+		c.submit("long", jobID(1), scheduler.Request{Spec: "s", Steps: []scheduler.Step{both}})
+		c.waitForState("long", jobID(1), "completed", 5*time.Second)
+		for _, h := range c.hosts {
+			h.crash()
+		}
+		for _, h := range c.hosts {
+			h.start(false)
+		}
+		time.Sleep(5 * time.Second)
+		c.submit("long", jobID(2), scheduler.Request{Spec: "s", Steps: []scheduler.Step{both}})
+		c.waitForState("long", jobID(2), "completed", 10*time.Second)
+	})
+}
--- a/coordinator/workers.go
+++ b/coordinator/workers.go
@@ -32,9 +32,12 @@
 	ReportTo string `json:"report-to,omitempty"`
 }
 
+// maxClockLead is how far the time of day of a worker's machine may be ahead.
+const maxClockLead = time.Hour
+
 // parseReport decodes a report. The last result is the reason if the report is
-// invalid.
-func parseReport(id identifier.WorkerID, data []byte) (scheduler.Worker, report, string) {
+// invalid. wall is the time of day.
+func parseReport(id identifier.WorkerID, data []byte, wall scheduler.UnixMilli) (scheduler.Worker, report, string) {
 	var r report
 	if err := json.Unmarshal(data, &r); err != nil {
 		return scheduler.Worker{}, r, err.Error()
@@ -46,6 +49,10 @@
 		return scheduler.Worker{}, r, "sequence, born or capacity is missing"
 	case r.State != scheduler.WorkerReady && r.State != scheduler.WorkerDraining:
 		return scheduler.Worker{}, r, "unknown state " + string(r.State)
+	case scheduler.UnixMilli(*r.Incarnation) > wall+scheduler.UnixMilli(maxClockLead.Milliseconds()):
+		return scheduler.Worker{}, r, "start time is in the future"
+	case !scheduler.ValidClock(scheduler.WorkerMilli(r.Clock)):
+		return scheduler.Worker{}, r, "clock is out of range"
 	}
 	worker := scheduler.Worker{
 		ID: id, Incarnation: scheduler.UnixMilli(*r.Incarnation), Sequence: *r.Sequence, Pool: r.Pool, Address: r.Address,
@@ -62,7 +69,7 @@
 // before the response. Reports of an earlier incarnation, and of one that has
 // left, are ignored.
 func (c *Coordinator) report(ctx context.Context, call forwarder.Call) forwarder.Answer {
-	worker, r, refused := parseReport(call.Worker, call.Document)
+	worker, r, refused := parseReport(call.Worker, call.Document, wallTime())
 	if refused != "" {
 		c.event("report-refused", "worker", call.Worker, "reason", refused)
 		return problemAnswer(responder.CodeInvalid, refused)
--- a/cranberryd/development/steps.go
+++ b/cranberryd/development/steps.go
@@ -93,7 +93,7 @@
 	for ctx.Err() == nil {
 		sequence, clock := worker.NextReport()
 		document, err := json.Marshal(workerReport{
-			Pool: "dispatch", Address: string(worker.ID), DataCenter: dataCenter, State: "ready", Sequence: sequence,
+			Pool: "dispatch", Address: string(worker.ID) + ":1", DataCenter: dataCenter, State: "ready", Sequence: sequence,
 			Incarnation: int64(worker.Incarnation), Clock: int64(clock), Labels: worker.Labels, Capacity: worker.Capacity,
 		})
 		if err != nil {
--- a/cranberryd/node/entries_test.go
+++ b/cranberryd/node/entries_test.go
@@ -26,6 +26,8 @@
 	odd := []string{
 		fmt.Sprintf(entry, `,"extra":`+nested(9999)), fmt.Sprintf(entry, `,"extra":`+nested(10000)), fmt.Sprintf(entry, `,"extra":`+nested(30000)),
 		fmt.Sprintf(entry, `,"sequence":1e400`), fmt.Sprintf(entry, `,"sequence":92233720368547758080`), fmt.Sprintf(entry, `,"born":9223372036854775807`),
+		fmt.Sprintf(entry, `,"born":32503680000000`), fmt.Sprintf(entry, `,"sequence":9223372036854775807`), fmt.Sprintf(entry, `,"clock-ms":9223372036854775807`),
+		fmt.Sprintf(entry, `,"address":"w-1:65536"`), fmt.Sprintf(entry, `,"address":"w-1:99999999999999999999"`),
 	}
 	synctest.Test(t, func(t *testing.T) {
 		var logs bytes.Buffer
--- a/scheduler/absurd_test.go
+++ b/scheduler/absurd_test.go
@@ -7,6 +7,7 @@
 	"runtime"
 	"strings"
 	"testing"
+	"time"
 )
 
 // Guards against a report of an absurd capacity, for which each leader in turn
@@ -37,11 +38,17 @@
 		{"started in the far future", func(w *Worker) { w.Incarnation = math.MaxInt64 }},
 		{"never started", func(w *Worker) { w.Incarnation = 0 }},
 		{"endless drain", func(w *Worker) { w.DrainMillis = math.MaxInt64 }},
+		{"endless sequence", func(w *Worker) { w.Sequence = math.MaxInt64 }},
+		{"port out of range", func(w *Worker) { w.Address = "10.0.0.1:65536" }},
+		{"port that overflows", func(w *Worker) { w.Address = "10.0.0.1:18446744073709551617" }},
+		{"port 0", func(w *Worker) { w.Address = "10.0.0.1:0" }},
+		{"no port", func(w *Worker) { w.Address = "10.0.0.1" }},
+		{"no host", func(w *Worker) { w.Address = ":8080" }},
 		{"endless labels", func(w *Worker) { w.Labels = make([]string, 100000) }},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			worker := Worker{ID: "w", Incarnation: 1, Capacity: Resources{CPU: 1}}
+			worker := Worker{ID: "w", Incarnation: 1, Address: "w:1", Capacity: Resources{CPU: 1}}
 			if err := worker.Check(); err != nil {
 				t.Fatal(err)
 			}
@@ -53,6 +60,21 @@
 	}
 }
 
+// Guards against a time of a worker's clock that is so large that deadlines on it overflow,
+// and that hides all later ones.
+func TestAbsurdClockIsIgnored(t *testing.T) {
+	now := time.Unix(1000, 0)
+	observation := NewObserver(now, 6*time.Second, 4*time.Second).Track("w", 1, now)
+	observation.RecordContact(math.MaxInt64, now)
+	if observation.HasClock() {
+		t.Error("an absurd clock is taken")
+	}
+	observation.RecordContact(5000, now)
+	if deadline := observation.RenewLease(time.Second, now); deadline != 6000 {
+		t.Errorf("a lease of 1 s ends at %d on a clock at 5000", deadline)
+	}
+}
+
 func TestAbsurdJobsAreInvalid(t *testing.T) {
 	tests := []struct {
 		name, request string
--- a/scheduler/observer.go
+++ b/scheduler/observer.go
@@ -143,13 +143,13 @@
 func (o *Observer) Observation(id identifier.WorkerID) *WorkerObservation { return o.observations[id] }
 
 // RecordContact records a contact and a time that the worker's clock had
-// reached by then. A clock of 0 or less is ignored. Contacts may be recorded in
+// reached by then. A clock out of range is ignored. Contacts may be recorded in
 // another order than that of their times.
 func (w *WorkerObservation) RecordContact(clock WorkerMilli, now time.Time) {
 	if now.After(w.LastContact) {
 		w.LastContact = now
 	}
-	if clock <= 0 {
+	if clock <= 0 || !ValidClock(clock) {
 		return
 	}
 	if !w.clockKnown || clock >= w.Clock(now) {
@@ -157,6 +157,14 @@
 	}
 }
 
+// maxClock is the latest time that a worker's clock may show, so that deadlines on it do
+// not overflow.
+const maxClock = WorkerMilli(maxTime)
+
+// ValidClock reports whether a worker's clock may show a time; 0 says that the time is
+// unknown.
+func ValidClock(clock WorkerMilli) bool { return clock >= 0 && clock <= maxClock }
+
 // BackOffUntil keeps new runs off the worker until a time.
 func (w *WorkerObservation) BackOffUntil(until time.Time) { w.backoffUntil = until }
 
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"net"
+	"strconv"
 	"strings"
 
 	"github.com/rotisserie/eris"
@@ -59,6 +61,10 @@
 	switch {
 	case w.Incarnation <= 0 || w.Incarnation > maxTime:
 		return eris.Wrap(ErrInvalidWorker, "start time is out of range")
+	case w.Sequence < 0 || w.Sequence > maxAmount:
+		return eris.Wrap(ErrInvalidWorker, "sequence number is out of range")
+	case !validAddress(w.Address):
+		return eris.Wrapf(ErrInvalidWorker, "address %q has no host or no valid port", w.Address)
 	case !w.Capacity.valid():
 		return eris.Wrap(ErrInvalidWorker, "capacity is out of range")
 	case w.DrainMillis < 0 || w.DrainMillis > maxAmount:
@@ -69,6 +75,16 @@
 	return nil
 }
 
+// validAddress reports whether an address has a host and a port that can be dialled.
+func validAddress(address string) bool {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil || host == "" {
+		return false
+	}
+	number, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && number > 0
+}
+
 const rackPrefix = "r"
 
 // Rack returns the label that names the worker's rack, or "" if it has none. It
