scheduler: a report for an unknown pool replaces no worker

Cause: a report with a later start time on the same machine, at the same address or under the same id counts as the next life of the worker, whose runs have ended then. That was concluded from reports for any pool.

Change: only reports for a pool of the catalog replace workers, and only workers of such pools. Others are stored, but not under the id of a worker in use.

--- a/scheduler/apply.go
+++ b/scheduler/apply.go
@@ -329,6 +329,9 @@
 	if known != nil && (worker.Incarnation < known.Incarnation || worker.Incarnation == known.Incarnation && (known.State == WorkerLeft || worker.Sequence < known.Sequence)) {
 		return Result{Outcome: OutcomeStale, Reason: "earlier incarnation or report"}
 	}
+	if known != nil && s.mayHavePool(known.Pool) && !s.mayHavePool(worker.Pool) {
+		return Result{Outcome: OutcomeStale, Reason: "the catalog has no pool " + string(worker.Pool)}
+	}
 	replaced := s.replacedBy(&worker)
 	for _, other := range replaced {
 		if other.Incarnation > worker.Incarnation {
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -114,11 +114,15 @@
 
 // replacedBy returns the known workers whose processes have ended if a worker's
 // report is true: its earlier incarnation, and workers at its address or on its
-// machine. They are in the order of their ids.
+// machine. They are in the order of their ids. A process beside the workers of a
+// machine may report itself too, for a pool that the catalog does not have.
 func (s *State) replacedBy(worker *Worker) []*Worker {
 	var replaced []*Worker
 	for _, other := range s.workers {
-		if other.ID == worker.ID && other.Incarnation < worker.Incarnation || other.ID != worker.ID && other.conflictsWith(worker) {
+		switch {
+		case other.ID == worker.ID && other.Incarnation < worker.Incarnation:
+			replaced = append(replaced, other)
+		case other.ID != worker.ID && other.conflictsWith(worker) && s.mayHavePool(worker.Pool) && s.mayHavePool(other.Pool):
 			replaced = append(replaced, other)
 		}
 	}
@@ -126,6 +130,11 @@
 	return replaced
 }
 
+// mayHavePool reports whether the catalog has a pool, or there is no catalog yet.
+func (s *State) mayHavePool(name PoolName) bool {
+	return s.catalog.Version == 0 || s.catalog.Pool(name) != nil
+}
+
 // runsOfIncarnation returns the runs that were assigned to an incarnation of a
 // worker, in the order of their ids.
 func (s *State) runsOfIncarnation(worker *Worker) []*Run {
--- a/scheduler/state_test.go
+++ b/scheduler/state_test.go
@@ -133,6 +133,55 @@
 	}
 }
 
+// Guards against a report of another process on a worker's machine, for a pool that the
+// catalog does not have, that drops the worker's runs or takes it out of use.
+func TestReportForUnknownPoolReplacesNoWorker(t *testing.T) {
+	foreign := func(edit func(*Worker)) Worker {
+		report := Worker{ID: "agent", Incarnation: 2, Sequence: 1, Pool: "node-agent", Address: "b", Machine: "n", State: WorkerReady}
+		edit(&report)
+		return report
+	}
+	tests := []struct {
+		name   string
+		report Worker
+	}{
+		{"same machine", foreign(func(w *Worker) { w.Machine = "m" })},
+		{"same address", foreign(func(w *Worker) { w.Address = "a0" })},
+		{"same id", foreign(func(w *Worker) { w.ID = "w00" })},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := newPool(t, 1)
+			worker := *p.state.Worker("w00")
+			worker.Machine, worker.Sequence = "m", 2
+			p.apply(Command{Register: &worker})
+			job := p.submit(1, "long", tasks(2, 1))
+			p.plan()
+			p.apply(Command{Register: &test.report})
+			if runs := len(p.state.RunsOfJob(job)); runs != 2 {
+				t.Errorf("%d of 2 runs are left", runs)
+			}
+			draining := worker
+			draining.Sequence, draining.State = 3, WorkerDraining
+			if result := p.apply(Command{Register: &draining}); result[0].Outcome != OutcomeDone || p.state.Worker("w00").State != WorkerDraining {
+				t.Errorf("the worker's own next report: %+v", result[0])
+			}
+		})
+	}
+}
+
+// Guards against a worker that stays unknown because another process on its machine
+// reported itself before there was a catalog.
+func TestReportBeforeCatalogReplacesNoWorker(t *testing.T) {
+	s := NewState()
+	worker := Worker{ID: "w", Incarnation: 1, Sequence: 1, Pool: "p", Address: "a", Machine: "m", State: WorkerReady}
+	agent := Worker{ID: "agent", Incarnation: 2, Sequence: 1, Pool: "node-agent", Address: "b", Machine: "m", State: WorkerReady}
+	s.ApplyBatch(Batch{Commands: []Command{{Register: &worker}, {Register: &agent}, {Configure: &Configure{Document: []byte(testCatalog)}}, {Register: &worker}}})
+	if s.Worker("w") == nil {
+		t.Error("the worker is unknown after its next report")
+	}
+}
+
 // A run that is lost with its worker must resume from its last known
 // checkpoint, and so must its gang.
 func TestLostRunResumesFromLastCheckpoint(t *testing.T) {
