replicator: form the group although a seed was killed at the first start

Seen by callers: one seed's process is killed within 0.3 s of a new system's start and is back a second later.

Cause: a restarted process gets bootstrap false. A seed without a log and without bootstrap wrote an empty log and waited to be added; the other seeds took it for a member of a group that had formed without them, and waited too.

Change: a directory keeps, beside its nonce, that it was created with bootstrap, so that a restart goes on with the first start. An instance with an empty log that names no members says so, and the seeds that never formed a group form it without such an instance while these are no majority of the seeds; it is added afterwards. A group that has acknowledged anything has written it on most of the seeds of that time, and those are now known to have written nothing.

--- a/coordinator/restart_test.go
+++ b/coordinator/restart_test.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"cranberrystack.dev/cranberrystack/forwarder"
@@ -56,3 +58,51 @@
 		})
 	}
 }
+
+// Guards against a system that never forms because seeds were restarted, or lost their
+// disks, before it had formed.
+func TestGroupFormsAfterRestartsOfSeeds(t *testing.T) {
+	tests := []struct {
+		name             string
+		restarted, wiped []int
+	}{
+		{"one seed restarted", []int{0}, nil},
+		{"all instances restarted", []int{0, 1, 2, 3}, nil},
+		{"one seed without its disk", []int{1}, []int{1}},
+		{"all restarted, one without its disk", []int{0, 1, 2, 3}, []int{2}},
+	}
+	for i, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			names := []string{"core-0", "core-1", "core-2", "core-3"}
+			setup := func(c *cluster) { c.isolate(true, names...) }
+			synctest.Test(t, func(t *testing.T) {
+				seed := uint64(100 + i)
+				c := newCluster(t, seed, len(names), setup)
+				defer c.close()
+				defer c.writeLogOnFailure(seed)
+				time.Sleep(150 * time.Millisecond)
+				for _, number := range test.restarted {
+					c.hosts[number].crash()
+					if slices.Contains(test.wiped, number) {
+						c.hosts[number].wipe()
+					}
+				}
+				time.Sleep(time.Second)
+				for _, number := range test.restarted {
+					c.hosts[number].start(false)
+				}
+				time.Sleep(time.Second)
+				c.isolate(false, names...)
+				c.addWorkers(2)
+				c.configure(1, 3)
+				c.submit("long", jobID(1), scheduler.Request{Spec: "s", Steps: []scheduler.Step{step(1, 300, 1)}})
+				c.waitForState("long", jobID(1), "completed", 10*time.Second)
+				time.Sleep(5 * time.Second)
+				if voters := len(c.leader().coordinator.Node().Leadership().Membership.Voters); voters != 3 {
+					t.Errorf("the group has %d voters, want 3", voters)
+				}
+				c.checkHistory()
+			})
+		})
+	}
+}
--- a/replicator/formation.go
+++ b/replicator/formation.go
@@ -24,6 +24,9 @@
 	Bootstrap bool `json:"bootstrap,omitempty"`
 	// InitialVoters are the initial voters of a group that formed from seeds.
 	InitialVoters []Peer `json:"first,omitempty"`
+	// Blank reports that the instance waits to be added to a group and has not heard of
+	// one.
+	Blank bool `json:"blank,omitempty"`
 }
 
 // formationStep is the next step of an instance without a log.
@@ -126,6 +129,7 @@
 func (n *Node) initializeLog(membership Membership, nonces map[identifier.InstanceID]string) (PersistentState, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.blank.Store(len(membership.Voters) == 0)
 	n.store.formation.Fresh = false
 	n.store.formation.VoterNonces = nonces
 	restored := PersistentState{Snapshot: Snapshot{Membership: membership}}
@@ -158,6 +162,7 @@
 	if seeds := n.options.seeds; seeds != nil {
 		formation.Self = Peer{ID: n.id, Address: seeds.Address}
 		formation.Bootstrap = seeds.Bootstrap
+		formation.Blank = n.blank.Load()
 	}
 	return formation
 }
--- a/replicator/node.go
+++ b/replicator/node.go
@@ -125,6 +125,9 @@
 	// leadership is the view of the core that other goroutines read.
 	leadership atomic.Pointer[Leadership]
 
+	// blank says that there is a log, which is empty and names no members.
+	blank atomic.Bool
+
 	// mu guards lostDisk and the store's formation, which other goroutines read.
 	mu       sync.Mutex
 	lostDisk bool
@@ -143,11 +146,13 @@
 	if err := stateMachine.restoreFrom(restored.Snapshot); err != nil {
 		return nil, err
 	}
-	if err := store.persistNonce(uuid.NewString()); err != nil {
+	if err := store.persistNonce(uuid.NewString(), options.seeds != nil && options.seeds.Bootstrap); err != nil {
 		return nil, err
 	}
 	if options.seeds != nil {
 		id = diskID(id, store.formation.Nonce)
+		// An instance that was restarted before the group formed goes on with its first start.
+		options.seeds.Bootstrap = options.seeds.Bootstrap || store.bootstrap
 	}
 	n := &Node{
 		id: id, stateMachine: stateMachine, transport: transport, options: options, store: store,
@@ -163,6 +168,7 @@
 		addresses:        map[identifier.InstanceID]string{},
 	}
 	n.leadership.Store(&Leadership{})
+	n.blank.Store(!store.formation.Fresh && len(restored.Entries) == 0 && len(restored.Snapshot.Membership.Voters) == 0)
 	go n.run(restored, initial)
 	return n, nil
 }
@@ -395,6 +401,9 @@
 		n.failure = err
 		return
 	}
+	if out.Snapshot != nil || len(out.Append) > 0 {
+		n.blank.Store(false)
+	}
 	if out.Snapshot != nil {
 		if err := n.stateMachine.restoreFrom(*out.Snapshot); err != nil {
 			n.failure = err
--- a/replicator/seeds.go
+++ b/replicator/seeds.go
@@ -20,7 +20,8 @@
 	// them.
 	Addresses []string
 	// Bootstrap allows forming a new group. It may be set only when the whole
-	// system starts for the first time, with empty disks.
+	// system starts for the first time, with empty disks. A directory keeps the value
+	// that it was created with until it has a log.
 	Bootstrap bool
 }
 
@@ -28,7 +29,7 @@
 	return id + "." + identifier.InstanceID(nonce[:min(diskIDNonceChars, len(nonce))])
 }
 
-// formFromSeeds forms the group once all seeds report that they have empty disks
+// formFromSeeds forms the group once no seed knows of one and most have empty disks
 // and Bootstrap set, or once one of them reports that the group has formed with
 // this disk. Any other instance waits to be added. formFromSeeds returns false if
 // the node was stopped or failed.
@@ -53,11 +54,14 @@
 }
 
 // querySeeds returns the initial voters once all are known, and join if the group
-// has formed without this disk. It returns neither while a seed is unreachable or
-// has Bootstrap unset.
+// has formed without this disk. It returns neither while a seed is unreachable. A blank
+// seed has lost its disk, or has never had Bootstrap set: it is no initial voter, and
+// a group that the others don't know of can't have formed with it as long as such seeds
+// are no majority.
 func (n *Node) querySeeds() (initialVoters []Peer, join bool) {
 	seeds := n.options.seeds
 	complete := true
+	blank := 0
 	for _, address := range seeds.Addresses {
 		if address == seeds.Address {
 			initialVoters = append(initialVoters, n.Self())
@@ -69,6 +73,8 @@
 			complete = false
 		case !remote.Fresh && findPeer(remote.InitialVoters, n.id).ID == n.id:
 			return remote.InitialVoters, false
+		case remote.Blank:
+			blank++
 		case !remote.Fresh:
 			return nil, true
 		case !remote.Bootstrap || remote.Self.ID == "":
@@ -77,7 +83,7 @@
 			initialVoters = append(initialVoters, remote.Self)
 		}
 	}
-	if !complete {
+	if !complete || blank > len(seeds.Addresses)/2 {
 		return nil, false
 	}
 	return initialVoters, false
--- a/replicator/store.go
+++ b/replicator/store.go
@@ -11,8 +11,10 @@
 type storedRecord struct {
 	HardState *HardState `json:"hard-state,omitempty"`
 	Entries   []Entry    `json:"entries,omitempty"`
-	// Nonce is the Formation.Nonce of a directory without a snapshot.
-	Nonce string `json:"nonce,omitempty"`
+	// Nonce is the Formation.Nonce of a directory without a snapshot, and Bootstrap says
+	// that the directory was created with Seeds.Bootstrap set.
+	Nonce     string `json:"nonce,omitempty"`
+	Bootstrap bool   `json:"bootstrap,omitempty"`
 }
 
 // storedSnapshot is the content of the journal's snapshot.
@@ -27,6 +29,8 @@
 	journal *journaler.Journal
 	// formation is stored with every snapshot.
 	formation Formation
+	// bootstrap is the Bootstrap of the record with the nonce.
+	bootstrap bool
 }
 
 // openStore opens the journal in dir and returns the stored state. The store's
@@ -46,18 +50,18 @@
 }
 
 // persistNonce stores the nonce of a directory that has none yet.
-func (s *store) persistNonce(nonce string) error {
+func (s *store) persistNonce(nonce string, bootstrap bool) error {
 	if s.formation.Nonce != "" {
 		return nil
 	}
-	data, err := json.Marshal(storedRecord{Nonce: nonce})
+	data, err := json.Marshal(storedRecord{Nonce: nonce, Bootstrap: bootstrap})
 	if err != nil {
 		return fmt.Errorf("encode nonce: %w", err)
 	}
 	if err := s.journal.Append(data); err != nil {
 		return fmt.Errorf("append nonce: %w", err)
 	}
-	s.formation.Nonce = nonce
+	s.formation.Nonce, s.bootstrap = nonce, bootstrap
 	return nil
 }
 
@@ -80,7 +84,7 @@
 			hardState = *record.HardState
 		}
 		if s.formation.Fresh && record.Nonce != "" {
-			s.formation.Nonce = record.Nonce
+			s.formation.Nonce, s.bootstrap = record.Nonce, record.Bootstrap
 		}
 		replayEntries(&log, record.Entries)
 	}
