scheduler: keep the reserve for urgent work in each pool by itself

Cause: what urgent work held or waited for recently, also work that no worker can hold, was kept free over all pools together, at most a quarter of all accelerators. A small pool has fewer than that.

Change: peak, free accelerators and reserve are counted for each pool, and work that no worker of its pool can hold does not count. The share of free accelerators that shortens the wait for a rack is that of the pool too.

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -220,7 +220,7 @@
 
 func (p *placementPass) adviceClass(u *unit, c *candidate) adviceClass {
 	need := u.step.Demand()
-	if c.worker.Pool != u.job.Policy.Pool || !need.Fits(c.worker.Capacity) || u.step.NeedsLabel != "" && !c.worker.HasLabel(u.step.NeedsLabel) {
+	if !u.mayEverRun(c.worker) {
 		return adviceUseless
 	}
 	known, named := p.observer.verdict(u.id(), c.worker)
--- a/scheduler/chooser.go
+++ b/scheduler/chooser.go
@@ -93,10 +93,10 @@
 // changeCapacity adds to what is left on a candidate; free and afterStops may be
 // negative amounts.
 func (p *placementPass) changeCapacity(c *candidate, free, afterStops Resources) {
-	p.freeAccelerators -= max(0, c.free.Accelerators)
+	c.pool.free -= max(0, c.free.Accelerators)
 	c.free = c.free.Plus(free)
 	c.afterStops = c.afterStops.Plus(afterStops)
-	p.freeAccelerators += max(0, c.free.Accelerators)
+	c.pool.free += max(0, c.free.Accelerators)
 	for _, index := range p.indexes {
 		index.update(c)
 	}
--- a/scheduler/datacenter_test.go
+++ b/scheduler/datacenter_test.go
@@ -132,7 +132,7 @@
 		t.Errorf("runs are %+v, want no copy", got)
 	}
 	p.observer.Observation("w01").MissedPolls = 0
-	if got := newPlacementPass(p.state, p.observer, p.now, p.wall()).totalAccelerators; got != 8 {
+	if got := newPlacementPass(p.state, p.observer, p.now, p.wall()).pools["p"].total; got != 8 {
 		t.Errorf("the reserve is a share of %d accelerators, want 8", got)
 	}
 }
--- a/scheduler/mover.go
+++ b/scheduler/mover.go
@@ -337,7 +337,8 @@
 		return true
 	}
 	taken := u.step.Accelerators * int64(tasks)
-	return p.searches < maxSearches && (taken == 0 || p.freeAccelerators-taken >= p.acceleratorReserve)
+	pool := p.poolOf(u)
+	return p.searches < maxSearches && (taken == 0 || pool.free-taken >= pool.reserve)
 }
 
 func (p *placementPass) stopMoved(run *Run) Stop {
--- a/scheduler/mover_test.go
+++ b/scheduler/mover_test.go
@@ -57,7 +57,7 @@
 			}
 			p.fill(2, "long", "b", tasks(max(1, test.busy), int64(min(1, test.busy))))
 			p.order("a", true)
-			p.planner.peak, p.planner.peakUpdated = test.peak, p.now
+			p.planner.peaks["p"], p.planner.peaksUpdated = test.peak, p.now
 			if test.change != nil {
 				test.change(p.observer, p.now)
 			}
@@ -69,7 +69,7 @@
 				t.Errorf("%d more runs are moved while the first are being stopped", again)
 			}
 			p.endStopped(plan)
-			p.planner.peak = 0
+			p.planner.peaks["p"] = 0
 			p.plan()
 			if got := p.runsIn(job, "b"); got != test.want {
 				t.Errorf("%d runs have found room, want %d", got, test.want)
--- a/scheduler/pass.go
+++ b/scheduler/pass.go
@@ -13,6 +13,8 @@
 type candidate struct {
 	worker *Worker
 	rack   string
+	// pool holds the accelerators of the worker's pool.
+	pool *poolAccelerators
 	// position is its index among the candidates of the pass, and slots its places
 	// in the indexes of the pass.
 	position int
@@ -63,9 +65,8 @@
 	racks [][]*candidate
 	// indexes lists the candidates by capacity, one index for each kind.
 	indexes [capacityKinds]*capacityIndex
-	// freeAccelerators counts the accelerators that the candidates of all pools have
-	// free, and totalAccelerators all of them.
-	freeAccelerators, totalAccelerators int64
+	// pools holds the accelerators of each pool that has candidates.
+	pools map[PoolName]*poolAccelerators
 	// searches counts the units for which runs to preempt were searched, and
 	// fruitless holds those among them for which none were found.
 	searches  int
@@ -80,9 +81,6 @@
 	// the guarantees of some teams cover of them.
 	held      map[identifier.TeamID][]heldUnit
 	coverages map[identifier.TeamID]*coverage
-	// acceleratorReserve is the number of accelerators kept free for urgent
-	// work.
-	acceleratorReserve int64
 	// stopsTakeLong says that checkpointing work must leave the reserve free too.
 	stopsTakeLong bool
 	// fastestPace is the highest pace of a candidate, and unevenPaces says that the
@@ -95,7 +93,7 @@
 	p := &placementPass{
 		state: s, observer: o, now: now, wall: wall,
 		byWorker: map[identifier.WorkerID]*candidate{}, stopped: map[*Run]bool{}, usage: newTeamUsage(s, o),
-		coverages: map[identifier.TeamID]*coverage{},
+		coverages: map[identifier.TeamID]*coverage{}, pools: map[PoolName]*poolAccelerators{},
 	}
 	for _, worker := range s.Workers() {
 		if s.InEmptiedDataCenter(worker) || !o.Schedulable(worker, now) || !o.KnowsCapacity(s, worker, now) {
@@ -113,8 +111,7 @@
 		}
 		p.candidates = append(p.candidates, c)
 		p.byWorker[worker.ID] = c
-		p.freeAccelerators += max(0, c.free.Accelerators)
-		p.totalAccelerators += worker.Capacity.Accelerators
+		p.addToPool(c)
 	}
 	p.racks = candidatesByRack(p.candidates)
 	p.setRackPositions()
@@ -124,6 +121,31 @@
 	return p
 }
 
+// poolAccelerators counts the accelerators of the candidates of a pool.
+type poolAccelerators struct {
+	free, total int64
+	// reserve is how many are kept free for urgent work.
+	reserve int64
+}
+
+func (p *placementPass) addToPool(c *candidate) {
+	name := c.worker.Pool
+	if p.pools[name] == nil {
+		p.pools[name] = &poolAccelerators{}
+	}
+	c.pool = p.pools[name]
+	c.pool.free += max(0, c.free.Accelerators)
+	c.pool.total += c.worker.Capacity.Accelerators
+}
+
+// poolOf returns the accelerators of a unit's pool.
+func (p *placementPass) poolOf(u *unit) *poolAccelerators {
+	if known := p.pools[u.job.Policy.Pool]; known != nil {
+		return known
+	}
+	return &poolAccelerators{}
+}
+
 // setRackPositions sets the rack position of every candidate, in the order of
 // the rack names.
 func (p *placementPass) setRackPositions() {
@@ -334,7 +356,7 @@
 	case u.step.DataRack != "" && !p.rackCanHoldTask(u.step.DataRack, u):
 		return true
 	}
-	return u.waited >= maxIdleRackWait && u.job.hasNoRuns() && p.mostlyFree()
+	return u.waited >= maxIdleRackWait && u.job.hasNoRuns() && p.poolOf(u).mostlyFree()
 }
 
 const (
@@ -343,15 +365,14 @@
 	maxIdleRackWait = 2 * time.Second
 	// maxGuaranteedRackWait leaves time for stops before a guarantee has to be met.
 	maxGuaranteedRackWait = time.Second
-	// mostlyFreeShare is the share of free accelerators, over all pools, from
-	// which mostlyFree holds.
+	// mostlyFreeShare is the share of a pool's accelerators that are free from which
+	// mostlyFree holds.
 	mostlyFreeShare = 0.4
 )
 
-// mostlyFree reports whether at least mostlyFreeShare of the candidates'
-// accelerators, over all pools, are free.
-func (p *placementPass) mostlyFree() bool {
-	return float64(p.freeAccelerators) >= mostlyFreeShare*float64(p.totalAccelerators)
+// mostlyFree reports whether at least mostlyFreeShare of a pool's accelerators are free.
+func (a *poolAccelerators) mostlyFree() bool {
+	return float64(a.free) >= mostlyFreeShare*float64(a.total)
 }
 
 func (p *placementPass) rackCanHoldTask(rack string, u *unit) bool {
--- a/scheduler/planner.go
+++ b/scheduler/planner.go
@@ -71,11 +71,10 @@
 	// fruitless holds when runs to preempt for a step were last searched in vain, for
 	// searchPause.
 	fruitless map[StepID]time.Time
-	// peak is the recent maximum of the accelerators that urgent work held or
-	// waited for. It decays with peakHalfLife and was last updated at
-	// peakUpdated.
-	peak        float64
-	peakUpdated time.Time
+	// peaks holds, for each pool, the recent maximum of the accelerators that urgent work
+	// held or waited for. It decays with peakHalfLife and was last updated at peaksUpdated.
+	peaks        map[PoolName]float64
+	peaksUpdated time.Time
 	// urgentSlack is the moving average of how much time urgent steps may lose and
 	// still meet their objectives; 0 before the first one.
 	urgentSlack time.Duration
@@ -85,7 +84,7 @@
 
 // NewPlanner returns a planner.
 func NewPlanner() *Planner {
-	return &Planner{waitingSince: map[StepID]time.Time{}, fruitless: map[StepID]time.Time{}, mover: newMover()}
+	return &Planner{waitingSince: map[StepID]time.Time{}, fruitless: map[StepID]time.Time{}, peaks: map[PoolName]float64{}, mover: newMover()}
 }
 
 // unit is what is placed together: a gang, or the waiting tasks of a step.
@@ -159,7 +158,7 @@
 	plan.Waiting = len(units)
 	units = pass.usage.rankGuaranteed(units)
 	pass.stopsTakeLong = p.stopsTakeLong(units)
-	pass.acceleratorReserve = p.updateReserve(s, units, pass, now)
+	p.updateReserve(s, units, pass, now)
 	units = p.mover.addUnits(units, pass)
 	for u := range inTurns(units) {
 		left := len(u.tasks)
--- a/scheduler/reserve.go
+++ b/scheduler/reserve.go
@@ -1,48 +1,72 @@
 package scheduler
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
 const (
 	// peakHalfLife is the half-life of the peak of urgent work.
 	peakHalfLife = 6 * time.Second
-	// maxReserve bounds the share of the accelerators that is kept free.
+	// negligiblePeak is a peak, in accelerators, that is forgotten.
+	negligiblePeak = 0.01
+	// maxReserve bounds the share of a pool's accelerators that is kept free.
 	maxReserve = 0.25
 )
 
-// updateReserve updates the peak of urgent work and returns how many
-// accelerators must be kept free of tasks that lose their work when preempted,
-// so that recurring urgent work finds free capacity.
-func (p *Planner) updateReserve(s *State, units []*unit, pass *placementPass, now time.Time) int64 {
-	urgent := s.urgentAccelerators()
-	held := urgent
+// updateReserve updates the peak of urgent work in each pool and sets how many of its
+// accelerators must be kept free of tasks that lose their work when preempted, so that
+// recurring urgent work finds free capacity. Work that no worker can hold does not count.
+func (p *Planner) updateReserve(s *State, units []*unit, pass *placementPass, now time.Time) {
+	held := s.urgentAccelerators()
+	urgent := maps.Clone(held)
 	for _, u := range units {
-		if u.job.Policy.Priority == 0 && !u.step.LongRunning {
-			urgent += u.step.Accelerators * int64(len(u.tasks))
+		if u.job.Policy.Priority == 0 && !u.step.LongRunning && u.step.Accelerators > 0 && pass.canHoldTask(u) {
+			urgent[u.job.Policy.Pool] += u.step.Accelerators * int64(len(u.tasks))
 		}
 	}
-	if !p.peakUpdated.IsZero() {
-		p.peak *= math.Exp2(-float64(now.Sub(p.peakUpdated)) / float64(peakHalfLife))
+	decay := math.Exp2(-float64(now.Sub(p.peaksUpdated)) / float64(peakHalfLife))
+	p.peaksUpdated = now
+	for name := range p.peaks {
+		if p.peaks[name] *= decay; p.peaks[name] < negligiblePeak {
+			delete(p.peaks, name)
+		}
+	}
+	for name, amount := range urgent {
+		p.peaks[name] = max(p.peaks[name], float64(amount))
 	}
-	p.peakUpdated = now
-	p.peak = max(p.peak, float64(urgent))
-	peak := int64(p.peak)
-	if pass.stopsTakeLong {
-		// Rounded down, the reserve for one large task would soon be too small for it.
-		peak = int64(math.Ceil(p.peak))
+	for name, pool := range pass.pools {
+		peak := int64(p.peaks[name])
+		if pass.stopsTakeLong {
+			// Rounded down, the reserve for one large task would soon be too small for it.
+			peak = int64(math.Ceil(p.peaks[name]))
+		}
+		pool.reserve = min(max(0, peak-held[name]), int64(maxReserve*float64(pool.total)))
 	}
-	return min(max(0, peak-held), int64(maxReserve*float64(pass.totalAccelerators)))
 }
 
-// urgentAccelerators returns how many accelerators the runs of urgent jobs
-// hold, without long-running ones.
-func (s *State) urgentAccelerators() int64 {
-	held := int64(0)
-	s.forEachUrgentStep(func(_ *Job, step *Step, state *StepState) {
+// canHoldTask reports whether any candidate could hold a task of a unit if it were
+// empty.
+func (p *placementPass) canHoldTask(u *unit) bool {
+	return slices.ContainsFunc(p.candidates, func(c *candidate) bool { return u.mayEverRun(c.worker) })
+}
+
+// mayEverRun reports whether a worker could hold a task of the unit if it were empty,
+// whatever advice allows.
+func (u *unit) mayEverRun(worker *Worker) bool {
+	return worker.Pool == u.job.Policy.Pool && u.step.Demand().Fits(worker.Capacity) &&
+		(u.step.NeedsLabel == "" || worker.HasLabel(u.step.NeedsLabel))
+}
+
+// urgentAccelerators returns how many accelerators the runs of urgent jobs hold in each
+// pool, without long-running ones.
+func (s *State) urgentAccelerators() map[PoolName]int64 {
+	held := map[PoolName]int64{}
+	s.forEachUrgentStep(func(job *Job, step *Step, state *StepState) {
 		if !step.LongRunning {
-			held += step.Accelerators * int64(state.LiveRuns)
+			held[job.Policy.Pool] += step.Accelerators * int64(state.LiveRuns)
 		}
 	})
 	return held
@@ -79,12 +103,13 @@
 }
 
 // keepsReserve reports whether placing the given number of tasks of a unit leaves the
-// accelerator reserve free. Units that may preempt are exempt, and so are checkpointing
+// reserve of its pool free. Units that may preempt are exempt, and so are checkpointing
 // tasks, which lose little when they are preempted, unless stops take long.
 func (p *placementPass) keepsReserve(u *unit, tasks int) bool {
 	exempt := u.mayPreempt || u.step.Checkpoints && !p.stopsTakeLong
-	if exempt || u.step.Accelerators == 0 || p.acceleratorReserve == 0 {
+	pool := p.poolOf(u)
+	if exempt || u.step.Accelerators == 0 || pool.reserve == 0 {
 		return true
 	}
-	return p.freeAccelerators-u.step.Accelerators*int64(tasks) >= p.acceleratorReserve
+	return pool.free-u.step.Accelerators*int64(tasks) >= pool.reserve
 }
--- a/scheduler/reserve_test.go
+++ b/scheduler/reserve_test.go
@@ -52,3 +52,44 @@
 		})
 	}
 }
+
+// Guards against urgent work that waits in one pool, or that no worker can hold, keeping
+// ordinary work out of free capacity that it can't use.
+func TestReserveIsKeptOnlyWhereItIsOfUse(t *testing.T) {
+	const document = `{"version":2,"queues":[
+{"name":"urgent","host":"h","path-prefix":"/u/","worker-pool":"p","priority":0,"max-attempts":2,"timeout-ms":1},
+{"name":"long","host":"h","path-prefix":"/l/","worker-pool":"p","priority":2,"max-attempts":2,"timeout-ms":1},
+{"name":"other","host":"h","path-prefix":"/o/","worker-pool":"q","priority":2,"max-attempts":2,"timeout-ms":1}],
+"pools":[{"name":"p","guards-capacity":true},{"name":"q","guards-capacity":true}]}`
+	nowhere := with(tasks(1, 8), func(s *Step) { s.NeedsLabel = "none" })
+	tests := []struct {
+		name   string
+		urgent Step
+		queue  QueueName
+		fill   int
+	}{
+		{"other pool, hopeless", nowhere, "other", 24},
+		{"other pool, waiting", tasks(4, 8), "other", 0},
+		{"same pool, hopeless", nowhere, "long", 20},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := newPool(t, 4)
+			p.apply(Command{Configure: &Configure{Document: []byte(document)}})
+			moved := *p.state.Worker("w03")
+			moved.Pool, moved.Sequence = "q", 9
+			p.apply(Command{Register: &moved})
+			if test.fill > 0 {
+				p.submit(1, "urgent", tasks(test.fill, 1))
+				p.plan()
+			}
+			p.submit(2, "urgent", test.urgent)
+			p.plan()
+			job := p.submit(3, test.queue, tasks(1, 2))
+			p.plan()
+			if len(p.state.RunsOfJob(job)) != 1 {
+				t.Error("a task waits beside free capacity")
+			}
+		})
+	}
+}
