scheduler: a long-running task is not given up because its machine crashes

Cause: crashes of workers counted against every kind of task, whoever caused them.

Change: a long-running task is given up only if it is suspected of the crashes of three machines, as one that crashes each worker that starts it. Other tasks are given up as before. The crashes recorded for a task are bounded.

Evidence: TestLongRunningTaskIsGivenUpOnlyForCrashesOfSeveralMachines fails before in three of four cases ("given up after 5 crashes") and passes now.

--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -19,6 +19,8 @@
 	maxCrashes = 5
 	// crashMemory is how long a crash counts after it was recorded.
 	crashMemory = UnixMilli(10 * 60 * 1000)
+	// maxRecordedCrashes bounds the crashes that are recorded for a task.
+	maxRecordedCrashes = 16
 	// survivalTime is how long a run must have lived to show that its task does not
 	// crash the workers that start it.
 	survivalTime = UnixMilli(10_000)
@@ -95,21 +97,24 @@
 func (t *TaskState) recordCrash(crash WorkerCrash) {
 	t.Crashes = slices.DeleteFunc(t.Crashes, func(c WorkerCrash) bool { return crash.At-c.At > crashMemory })
 	t.Crashes = append(t.Crashes, crash)
+	t.Crashes = t.Crashes[max(0, len(t.Crashes)-maxRecordedCrashes):]
 }
 
 // crashesWorkers reports whether the task has to be given up because of the crashes
-// under it. Suspected crashes of one machine alone may be the machine's fault.
-func (t *TaskState) crashesWorkers() bool {
-	if len(t.Crashes) >= maxCrashes {
-		return true
-	}
+// under it. Suspected crashes of one machine alone may be the machine's fault. A
+// long-running task is to be restarted however it ends, so that only suspected crashes
+// of several machines count, each machine once.
+func (t *TaskState) crashesWorkers(longRunning bool) bool {
 	machines := map[MachineID]bool{}
 	for i := range t.Crashes {
 		if t.Crashes[i].Suspected {
 			machines[t.Crashes[i].Machine] = true
 		}
 	}
-	return t.suspectedCrashes() >= maxSuspectedCrashes && len(machines) > 1
+	if longRunning {
+		return len(machines) >= maxSuspectedCrashes
+	}
+	return len(t.Crashes) >= maxCrashes || t.suspectedCrashes() >= maxSuspectedCrashes && len(machines) > 1
 }
 
 // replacedBy returns the known workers whose processes have ended if a worker's
@@ -329,12 +334,12 @@
 	if job == nil {
 		return nil
 	}
-	_, _, task := job.step(id)
+	step, _, task := job.step(id)
 	if task == nil || task.Done {
 		return nil
 	}
 	task.recordCrash(crash)
-	if !task.crashesWorkers() {
+	if !task.crashesWorkers(step.LongRunning) {
 		return nil
 	}
 	s.endJob(job, PhaseFailed, fmt.Sprintf("%s crashed %d workers", id, len(task.Crashes)), crash.At)
--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -117,6 +117,32 @@
 	}
 }
 
+// Guards against long-running tasks that are given up because the machines that they can
+// run on crash, and against some that crash one machine after the other for ever.
+func TestLongRunningTaskIsGivenUpOnlyForCrashesOfSeveralMachines(t *testing.T) {
+	const limit = 40
+	tests := []struct {
+		name    string
+		workers int
+		how     crashed
+		want    int
+	}{
+		{"one machine", 1, crashed{age: 10 * time.Millisecond}, limit},
+		{"two machines", 2, crashed{age: 10 * time.Millisecond}, limit},
+		{"crash some seconds after the start", 8, crashed{age: 4 * time.Second}, limit},
+		{"many machines, right after the start", 8, crashed{age: 10 * time.Millisecond}, 3},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := newPool(t, test.workers)
+			job := p.submit(1, "long", with(tasks(1, 2), func(s *Step) { s.LongRunning = true }))
+			if got := p.crashUntilGivenUp(TaskID{Job: job}, test.how, limit); got != test.want {
+				t.Errorf("given up after %d crashes, want %d", got, test.want)
+			}
+		})
+	}
+}
+
 // Guards against blaming bystanders: a task that shares its worker with one that was
 // suspected before is not suspected, and outlives it.
 func TestBystanderOfSuspectedTaskIsNotSuspected(t *testing.T) {
