scheduler: a late Leave takes no later life of a worker out of use

Seen by callers: a worker's DELETE is held up by a lost path until the worker has started again under its id and was acknowledged.

Cause: a Leave names no incarnation, and one that counts as left was never used again, whatever it reported.

Change: a report of the same incarnation in state ready, with a later sequence number than the one known, shows that it is in use, as a process that has said that it leaves does not report itself as ready any more.

--- a/coordinator/entries_test.go
+++ b/coordinator/entries_test.go
@@ -86,3 +86,16 @@
 		c.waitForState("long", jobID(2), "completed", 10*time.Second)
 	})
 }
+
+// Guards against a worker that stays out of use because a Leave of its earlier life arrived
+// late.
+func TestLateLeaveKeepsWorkerInUse(t *testing.T) {
+	inCluster(t, 97, 4, 2, func(c *cluster) {
+		c.callUntilOK(forwarder.Call{Kind: forwarder.KindLeave, Worker: "w-00"}, 5*time.Second)
+		time.Sleep(2 * reportInterval)
+		both := step(2, 300, 8)
+		both.Gang = true
+		c.submit("long", jobID(1), scheduler.Request{Spec: "s", Steps: []scheduler.Step{both}})
+		c.waitForState("long", jobID(1), "completed", 5*time.Second)
+	})
+}
--- a/coordinator/workers.go
+++ b/coordinator/workers.go
@@ -66,8 +66,7 @@
 }
 
 // report handles a worker's report. Changes of its registration are committed
-// before the response. Reports of an earlier incarnation, and of one that has
-// left, are ignored.
+// before the response. Outdated reports are ignored.
 func (c *Coordinator) report(ctx context.Context, call forwarder.Call) forwarder.Answer {
 	worker, r, refused := parseReport(call.Worker, call.Document, wallTime())
 	if refused != "" {
@@ -80,7 +79,7 @@
 		return c.notLeader()
 	}
 	registered := c.state.Worker(worker.ID)
-	if registered != nil && (worker.Incarnation < registered.Incarnation || worker.Incarnation == registered.Incarnation && registered.State == scheduler.WorkerLeft) {
+	if worker.Outdated(registered) {
 		c.mu.Unlock()
 		return documentAnswer(reportBody{ReportTo: c.config.ReportTo})
 	}
--- a/scheduler/apply.go
+++ b/scheduler/apply.go
@@ -326,7 +326,7 @@
 // incarnation or by a later worker at its address or on its machine.
 func (s *State) applyRegister(worker Worker, suspicion *Suspicion, now UnixMilli) Result {
 	known := s.workers[worker.ID]
-	if known != nil && (worker.Incarnation < known.Incarnation || worker.Incarnation == known.Incarnation && (known.State == WorkerLeft || worker.Sequence < known.Sequence)) {
+	if worker.Outdated(known) || known != nil && worker.Incarnation == known.Incarnation && worker.Sequence < known.Sequence {
 		return Result{Outcome: OutcomeStale, Reason: "earlier incarnation or report"}
 	}
 	if known != nil && s.mayHavePool(known.Pool) && !s.mayHavePool(worker.Pool) {
--- a/scheduler/state_test.go
+++ b/scheduler/state_test.go
@@ -133,6 +133,36 @@
 	}
 }
 
+// Guards against a Leave of an earlier life under the same id, held up until the next one
+// has registered, that takes the worker out of use, and against a worker that has left and
+// is used again because of its delayed reports.
+func TestReportAfterLeave(t *testing.T) {
+	tests := []struct {
+		name   string
+		before WorkerState
+		report Worker
+		want   WorkerState
+	}{
+		{"ready, later", WorkerReady, Worker{Incarnation: 100, Sequence: 6, State: WorkerReady}, WorkerReady},
+		{"ready, delayed", WorkerReady, Worker{Incarnation: 100, Sequence: 5, State: WorkerReady}, WorkerLeft},
+		{"ready, delayed since before the drain", WorkerDraining, Worker{Incarnation: 100, Sequence: 4, State: WorkerReady}, WorkerLeft},
+		{"draining, later", WorkerDraining, Worker{Incarnation: 100, Sequence: 6, State: WorkerDraining}, WorkerLeft},
+		{"earlier incarnation", WorkerReady, Worker{Incarnation: 99, Sequence: 9, State: WorkerReady}, WorkerLeft},
+		{"next incarnation", WorkerDraining, Worker{Incarnation: 101, Sequence: 1, State: WorkerReady}, WorkerReady},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := NewState()
+			known := Worker{ID: "w", Incarnation: 100, Sequence: 5, Address: "a", State: test.before}
+			test.report.ID, test.report.Address = "w", "a"
+			s.ApplyBatch(Batch{Commands: []Command{{Register: &known}, {Leave: &Leave{Worker: "w"}}, {Register: &test.report}}})
+			if got := s.Worker("w").State; got != test.want {
+				t.Errorf("the worker is %s, want %s", got, test.want)
+			}
+		})
+	}
+}
+
 // Guards against a report of another process on a worker's machine, for a pool that the
 // catalog does not have, that drops the worker's runs or takes it out of use.
 func TestReportForUnknownPoolReplacesNoWorker(t *testing.T) {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -123,6 +123,22 @@
 		w.Machine == o.Machine && w.Capacity == o.Capacity && w.State == o.State
 }
 
+// returnedAfter reports whether a report shows that a worker of the same incarnation that
+// counts as left is in use: its process does not report itself as ready any more once it
+// has said that it leaves, so that the Leave was one of an earlier incarnation.
+func (w *Worker) returnedAfter(left *Worker) bool {
+	return w.Incarnation == left.Incarnation && w.State == WorkerReady && w.Sequence > left.Sequence
+}
+
+// Outdated reports whether a worker's report must be ignored because of what is known:
+// it is of an earlier incarnation, or of one that has left.
+func (w *Worker) Outdated(known *Worker) bool {
+	if known == nil || w.Incarnation != known.Incarnation {
+		return known != nil && w.Incarnation < known.Incarnation
+	}
+	return known.State == WorkerLeft && !w.returnedAfter(known)
+}
+
 // Run is a run that may be alive and takes capacity of its worker.
 type Run struct {
 	ID     RunID               `json:"id"`
