scheduler, coordinator: no runs start on a machine whose upkeep is ordered

Cause: a machine gets no new runs from when its turn has come until its order is committed, not while the order is repeated.

Change: workers on machines with an ordered upkeep stay cordoned, by the machine that they report, also before a new leader has a list of machines.

--- a/coordinator/surroundings_test.go
+++ b/coordinator/surroundings_test.go
@@ -33,7 +33,9 @@
 	// lostResponses is the number of next orders whose response is lost after they
 	// are carried out.
 	lostResponses int
-	interrupted   []scheduler.RunID
+	// unavailable is the number of next orders that are neither carried out nor answered.
+	unavailable int
+	interrupted []scheduler.RunID
 }
 
 type upkeepOrder struct {
@@ -61,6 +63,10 @@
 func (m *fakeMachineManager) orderUpkeep(_ context.Context, machine scheduler.MachineID, _ scheduler.WaveID, token scheduler.FencingToken) (coordinator.UpkeepAnswer, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.unavailable > 0 {
+		m.unavailable--
+		return "", errUnreachable
+	}
 	m.orders = append(m.orders, upkeepOrder{machine: machine, token: token, at: time.Now()})
 	id := identifier.WorkerID(strings.TrimPrefix(string(machine), "m-"))
 	if m.upkeeps[machine] == 0 {
@@ -157,6 +163,26 @@
 	}
 }
 
+// Guards against runs that start on a machine while the machine manager is unavailable and
+// the machine's upkeep is ordered again and again, which then ends them.
+func TestNoRunStartsBeforeOrderedUpkeep(t *testing.T) {
+	var m *fakeMachineManager
+	setup := func(c *cluster) {
+		m = newFakeMachineManager(c)
+		m.unavailable = 6
+	}
+	inClusterWith(t, 44, 4, 2, setup, func(c *cluster) {
+		time.Sleep(2 * time.Second)
+		c.callUntilOK(waveCall(1, 1, 30, "m-w-00"), 2*time.Second)
+		time.Sleep(1500 * time.Millisecond)
+		c.submit("long", jobID(1), scheduler.Request{Spec: "s", Steps: []scheduler.Step{step(2, 6000, 8)}})
+		c.waitForState("long", jobID(1), "completed", 25*time.Second)
+		if m.upkeeps["m-w-00"] != 1 || len(m.interrupted) > 0 {
+			t.Errorf("upkeeps by machine %v, runs alive on machines taken down: %v", m.upkeeps, m.interrupted)
+		}
+	})
+}
+
 // Tasks of a queue with advice must start only on workers that the advice
 // allows, and advice must be requested again once its tickets have expired.
 func TestTasksStartOnlyOnAdvisedWorkers(t *testing.T) {
--- a/coordinator/upkeep.go
+++ b/coordinator/upkeep.go
@@ -79,6 +79,11 @@
 	lead := c.lead
 	waves := c.state.Waves()
 	clear(lead.observer.Cordoned)
+	for _, wave := range waves {
+		for _, worker := range c.state.OrderedForUpkeep(wave) {
+			lead.observer.Cordoned[worker] = true
+		}
+	}
 	if len(waves) == 0 || c.config.MachineManager.List == nil {
 		return
 	}
--- a/scheduler/upkeep.go
+++ b/scheduler/upkeep.go
@@ -50,6 +50,9 @@
 		switch machine.State {
 		case UpkeepOrdered:
 			slots--
+			if worker, up := inventory.Worker[machine.Machine]; up {
+				actions.Cordon = append(actions.Cordon, worker)
+			}
 			actions.Changes = append(actions.Changes, Upkeep{Wave: wave.ID, Machine: machine.Machine, State: UpkeepOrdered})
 		case UpkeepBegun:
 			if !isBackUp(machine, inventory, listed, wall) {
@@ -81,6 +84,26 @@
 	return actions
 }
 
+// OrderedForUpkeep returns the workers on machines whose upkeep has been ordered and has not
+// begun as far as is known. It ends whatever runs there, so that they get no new runs,
+// also before a list of the machine manager has arrived.
+func (s *State) OrderedForUpkeep(wave *Wave) []identifier.WorkerID {
+	ordered := map[MachineID]bool{}
+	for i := range wave.Machines {
+		if wave.Machines[i].State == UpkeepOrdered {
+			ordered[wave.Machines[i].Machine] = true
+		}
+	}
+	var workers []identifier.WorkerID
+	for _, worker := range s.workers {
+		if ordered[worker.Machine] {
+			workers = append(workers, worker.ID)
+		}
+	}
+	slices.Sort(workers)
+	return workers
+}
+
 // isBackUp reports whether a machine that went down is up again.
 func isBackUp(machine *MachineUpkeep, inventory MachineInventory, listed time.Time, wall UnixMilli) bool {
 	if inventory.Down[machine.Machine] || wall-machine.Since < upkeepDurationMillis/2 {
--- a/scheduler/upkeep_test.go
+++ b/scheduler/upkeep_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
+
 	"cranberrystack.dev/cranberrystack/identifier"
 )
 
@@ -26,6 +28,28 @@
 	}
 }
 
+// Guards against runs that start on a machine while its upkeep has been ordered and the
+// machine manager has not answered: the upkeep ends them.
+func TestOrderedUpkeepKeepsNewRunsAway(t *testing.T) {
+	p := newPool(t, 2)
+	worker := *p.state.Worker("w00")
+	worker.Machine, worker.Sequence = "m0", 2
+	p.apply(Command{Register: &worker}, Command{Wave: &Wave{ID: 1, Cap: 1, DurationSeconds: 60, Machines: []MachineUpkeep{{Machine: "m0"}, {Machine: "m1"}}}},
+		Command{Upkeep: &Upkeep{Wave: 1, Machine: "m0", State: UpkeepOrdered}})
+	inventory := MachineInventory{
+		Worker: map[MachineID]identifier.WorkerID{"m0": "w00", "m1": "w01"},
+		Known:  map[MachineID]bool{"m0": true, "m1": true},
+	}
+	want := []identifier.WorkerID{"w00"}
+	actions := NextUpkeep(p.state, p.observer, p.state.Wave(1), inventory, p.now, p.wall())
+	if diff := cmp.Diff(want, actions.Cordon); diff != "" {
+		t.Errorf("cordoned workers differ:\n%s", diff)
+	}
+	if diff := cmp.Diff(want, p.state.OrderedForUpkeep(p.state.Wave(1))); diff != "" {
+		t.Errorf("workers whose upkeep is ordered differ:\n%s", diff)
+	}
+}
+
 // reportAllAvailable reports 100 percent progress of all runs, of which there
 // must be want.
 func (p *testPool) reportAllAvailable(want int) {
