scheduler, coordinator: a job whose starts were all refused is pending

Cause: a job counted as begun from its first assignment on.

Change: the drop of a run says whether the run has certainly never started, as its start was refused or never sent. A job counts as begun while any other run of it was assigned.

--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -131,7 +131,7 @@
 	}
 	scheduler.SortRuns(runs)
 	lead.droppingUnsent = true
-	p := c.dropRuns(lead, runs, "never sent")
+	p := c.dropUnstarted(lead, runs)
 	go c.afterProposal(lead, p, func() { lead.droppingUnsent = false })
 }
 
@@ -157,13 +157,14 @@
 	}
 }
 
-// dropRuns queues the drop of runs that are certainly not alive. All of them must
-// be in the state. The caller holds mu.
-func (c *Coordinator) dropRuns(lead *leadership, runs []scheduler.RunID, reason string) *proposal {
+// dropUnstarted queues the drop of runs whose starts were never sent. All of them must be
+// in the state. The caller holds mu.
+func (c *Coordinator) dropUnstarted(lead *leadership, runs []scheduler.RunID) *proposal {
+	const reason = "never sent"
 	for _, id := range runs {
 		c.logLostRuns([]scheduler.RunID{id}, c.state.Run(id).Worker, reason, lead)
 	}
-	return c.enqueue(lead.fencingToken, scheduler.Command{Drop: &scheduler.Drop{Runs: runs, Reason: reason}})
+	return c.enqueue(lead.fencingToken, scheduler.Command{Drop: &scheduler.Drop{Runs: runs, Reason: reason, NotStarted: true}})
 }
 
 // dropExpired drops the runs of unresponsive workers once their leases have
--- a/coordinator/starter.go
+++ b/coordinator/starter.go
@@ -171,7 +171,7 @@
 		c.orderStop(scheduler.Stop{Run: run.ID, Cause: scheduler.CauseUnanswered, Reason: "an earlier start has no answer"}, now)
 		return
 	}
-	c.enqueue(lead.fencingToken, scheduler.Command{Drop: &scheduler.Drop{Runs: []scheduler.RunID{run.ID}, Reason: string(answer.Refusal)}})
+	c.enqueue(lead.fencingToken, scheduler.Command{Drop: &scheduler.Drop{Runs: []scheduler.RunID{run.ID}, Reason: string(answer.Refusal), NotStarted: true}})
 }
 
 // refusalBackoff is how long a worker gets no new runs after it refused a start
@@ -194,7 +194,7 @@
 		lead.observer.Track(run.Worker, run.Incarnation, now).RecordUnreachable(now)
 	}
 	if !attempt.Unanswered && attempt.Started.IsZero() {
-		c.dropRuns(lead, []scheduler.RunID{run.ID}, "never sent")
+		c.dropUnstarted(lead, []scheduler.RunID{run.ID})
 		return
 	}
 	if attempt.Started.IsZero() {
--- a/scheduler/apply.go
+++ b/scheduler/apply.go
@@ -133,6 +133,7 @@
 		if step.Gang {
 			state.RunNumber = max(state.RunNumber, run.ID.Number)
 		}
+		job.StartedRuns++
 		job.Started = true
 	}
 	if len(assign.Runs) > 0 {
@@ -297,6 +298,10 @@
 			if job := s.active[id.Task.Job]; job != nil {
 				job.addEvent(now, "%s is lost on %s: %s", id, run.Worker, drop.Reason)
 				job.saveCheckpoint(id.Task, drop.checkpoint(i))
+				if drop.NotStarted {
+					job.StartedRuns--
+					job.Started = job.StartedRuns > 0
+				}
 			}
 		}
 	}
--- a/scheduler/command.go
+++ b/scheduler/command.go
@@ -76,6 +76,8 @@
 	Checkpoints []string `json:"checkpoints,omitempty"`
 	// Reason is the reason given in the job's events.
 	Reason string `json:"reason,omitempty"`
+	// NotStarted says that the runs have certainly never started.
+	NotStarted bool `json:"not-started,omitempty"`
 	// Suspicion names those of the runs that may have crashed their worker, in case
 	// that it has crashed.
 	Suspicion *Suspicion `json:"suspicion,omitempty"`
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -222,8 +222,11 @@
 	Ended    UnixMilli         `json:"ended,omitempty"`
 	// Reason says why the job failed.
 	Reason string `json:"reason,omitempty"`
-	// Started is set by the first assignment and never cleared.
+	// Started says that a run has started or may have: one was assigned and is not among
+	// those that were dropped without a start.
 	Started bool `json:"started,omitempty"`
+	// StartedRuns counts these runs.
+	StartedRuns int `json:"started-runs,omitempty"`
 	// Events holds what happened to the job, oldest first.
 	Events      []JobEvent   `json:"life,omitempty"`
 	Occurrences []Occurrence `json:"occurrences"`
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -126,6 +126,10 @@
 	}
 	for _, job := range stored.Jobs {
 		job.criticalPathMillis = job.Request.criticalPathMillis()
+		if job.Started {
+			// An earlier version did not count the runs.
+			job.StartedRuns = max(job.StartedRuns, 1)
+		}
 		fresh.footprint += job.Request.Footprint()
 		fresh.jobs[job.ID] = job
 		if job.Active() {
--- a/scheduler/state_test.go
+++ b/scheduler/state_test.go
@@ -133,6 +133,31 @@
 	}
 }
 
+// Guards against a job that counts as begun though all its runs were refused, and against
+// one that counts as waiting though a run of it has started.
+func TestJobWhoseRunsNeverStartedIsPending(t *testing.T) {
+	p := newPool(t, 2)
+	job := p.submit(1, "long", tasks(2, 8))
+	p.plan()
+	first, second := RunID{Task: TaskID{Job: job}, Number: 1}, RunID{Task: TaskID{Job: job, Index: 1}, Number: 1}
+	steps := []struct {
+		command Command
+		pending int
+	}{
+		{Command{Drop: &Drop{Runs: []RunID{first}, NotStarted: true}}, 0},
+		{Command{Drop: &Drop{Runs: []RunID{second}, NotStarted: true}}, 1},
+		{Command{Drop: &Drop{Runs: []RunID{second}, NotStarted: true}}, 1},
+		{Command{Assign: &Assign{Runs: []Run{{ID: RunID{Task: first.Task, Number: 2}, Worker: "w00", Incarnation: 1}}}}, 0},
+		{Command{Drop: &Drop{Runs: []RunID{{Task: first.Task, Number: 2}}}}, 0},
+	}
+	for i, step := range steps {
+		p.apply(step.command)
+		if got := p.state.Pending("long"); got != step.pending {
+			t.Errorf("after step %d, %d jobs are pending, want %d", i, got, step.pending)
+		}
+	}
+}
+
 // Guards against a Leave of an earlier life under the same id, held up until the next one
 // has registered, that takes the worker out of use, and against a worker that has left and
 // is used again because of its delayed reports.
