placer, scheduler: search once per shape for jobs over their limits; names of advice classes

Callers see no change. One pass of the placer searched a placement for each of a plan's waiting jobs that are over its limits, though the search has the same result for all jobs of one shape.

--- a/placer/schedule.go
+++ b/placer/schedule.go
@@ -31,16 +31,18 @@
 	waiting := append([]*Job(nil), e.queue...)
 	var borrowers []*Job
 	blocked := map[searchKey]bool{}
+	overLimits := map[searchKey]bool{}
 	reclaiming := map[planKey]bool{}
 	for _, job := range urgentFirst(waiting) {
 		guarantee, found := e.findUnusedGuarantee(&job.Spec)
+		key := e.searchKeyOf(job)
 		if !e.withinLimits(job) {
-			if found && e.reclaimLimit(job, guarantee, now) {
+			if found && !overLimits[key] && e.reclaimLimit(job, guarantee, now) {
 				reclaiming[planKey{job.Spec.Plan, job.Spec.Accelerator}] = true
 			}
+			overLimits[key] = true
 			continue
 		}
-		key := e.searchKeyOf(job)
 		if found && !blocked[key] && e.startGuaranteed(job, guarantee, now) {
 			continue
 		}
--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -117,8 +117,8 @@
 
 // NextAdviceRequest returns the request to send next for one of the steps. It prefers
 // the step whose last request is the oldest if inTurn is set, and otherwise the one
-// that StepPrecedes puts first. It returns false if no worker needs to be named for
-// any of them.
+// with the lowest Priority value whose job was accepted first. It returns false if no
+// worker needs to be named for any of them.
 func (s *State) NextAdviceRequest(o *Observer, steps []StepID, inTurn bool, now time.Time, wall UnixMilli) (AdviceRequest, bool) {
 	steps = slices.Clone(steps)
 	slices.SortFunc(steps, func(a, b StepID) int {
@@ -211,20 +211,21 @@
 	// adviceKnownFull is a worker that is known to be allowed, where a run might be
 	// preempted.
 	adviceKnownFull
-	// adviceOther is the least useful worker of a rack other than that of the data.
-	adviceOther
-	// adviceDenied is a worker that was not allowed some time ago.
+	// adviceRemote is a worker that was not named yet, in another rack than that of the
+	// step's data.
+	adviceRemote
+	// adviceDenied is a worker that was not allowed denialLifetime ago.
 	adviceDenied
+	// adviceUseless is a worker of which enough is known, or that can't run the step now.
 	adviceUseless
 )
 
 func (p *placementPass) adviceClass(u *unit, c *candidate) adviceClass {
-	need := u.step.Demand()
 	if !u.mayEverRun(c.worker) {
 		return adviceUseless
 	}
 	known, named := p.observer.verdict(u.id(), c.worker)
-	hasRoom := need.Fits(c.free) && (u.step.SpreadLimit == 0 || c.runsOfStep[u.id()] < u.step.SpreadLimit)
+	hasRoom := u.step.Demand().Fits(c.free) && (u.step.SpreadLimit == 0 || c.runsOfStep[u.id()] < u.step.SpreadLimit)
 	remote := u.step.DataRack != "" && u.step.DataRack != c.rack
 	switch {
 	case named && p.now.Before(known.renewAt):
@@ -234,7 +235,7 @@
 	case named && !known.allowed:
 		return adviceDenied
 	case remote && !named:
-		return adviceOther
+		return adviceRemote
 	case named && hasRoom:
 		return adviceKnown
 	case named:
