--- a/coordinator/advice.go
+++ b/coordinator/advice.go
@@ -80,7 +80,7 @@
 		return
 	}
 	c.event("advice-response", "step", request.Step, "named", len(request.Workers), "allowed", len(answer.Allowed),
-		"took", time.Since(sent).Round(time.Millisecond), "valid-ms", answer.ValidMillis, "error", err)
+		"took-ms", millisSince(sent), "valid-ms", answer.ValidMillis, "error", err)
 	if err != nil {
 		return
 	}
