--- a/cranberryd/node/entries_test.go
+++ b/cranberryd/node/entries_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,6 +18,24 @@
 	"cranberrystack.dev/cranberrystack/faker"
 )
 
+// lockedBuffer collects what several nodes log.
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(line)
+}
+
+func (b *lockedBuffer) text() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
+
 // Guards against an odd entry of another writer, or a call of that kind, that an instance
 // can read and can't pass on: the forwarding instance took the leader for unreachable.
 // All others must be served meanwhile.
@@ -30,8 +49,8 @@
 		fmt.Sprintf(entry, `,"address":"w-1:65536"`), fmt.Sprintf(entry, `,"address":"w-1:99999999999999999999"`),
 	}
 	synctest.Test(t, func(t *testing.T) {
-		var logs bytes.Buffer
-		logger := log.NewLogfmtLogger(log.NewSyncWriter(&logs))
+		var logs lockedBuffer
+		logger := log.NewLogfmtLogger(&logs)
 		network := faker.NewNetwork()
 		var nodes []*node.Node
 		for i := 1; i <= 3; i++ {
@@ -56,7 +75,7 @@
 			return response.StatusCode
 		}
 		time.Sleep(5 * time.Second)
-		before := logs.Len()
+		before := len(logs.text())
 		for _, body := range odd {
 			for i := 1; i <= 3; i++ {
 				if status := call(http.MethodPut, fmt.Sprintf("http://core-%d:8000/v1/instances/w-1", i), body); status != http.StatusBadRequest {
@@ -75,8 +94,8 @@
 				t.Errorf("the gateway is not ready after %.150s: %v", body, err)
 			}
 		}
-		if log := logs.String()[before:]; strings.Contains(log, "leader-lost") || strings.Contains(log, "entry-decode-failed") {
-			t.Errorf("an instance has lost the leader or an entry: %s", log)
+		if since := logs.text()[before:]; strings.Contains(since, "leader-lost") || strings.Contains(since, "entry-decode-failed") {
+			t.Errorf("an instance has lost the leader or an entry: %s", since)
 		}
 		transport.CloseIdleConnections()
 		for _, n := range nodes {
