--- a/cranberryd/node/entries_test.go
+++ b/cranberryd/node/entries_test.go
@@ -12,10 +12,6 @@
 	"time"
 
 	"github.com/go-kit/log"
-
-	"cranberrystack.dev/cranberryd/loader"
-	"cranberrystack.dev/cranberryd/node"
-	"cranberrystack.dev/cranberrystack/faker"
 )
 
 // lockedBuffer collects what several nodes log.
@@ -51,15 +47,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var logs lockedBuffer
 		logger := log.NewLogfmtLogger(&logs)
-		network := faker.NewNetwork()
-		var nodes []*node.Node
-		for i := 1; i <= 3; i++ {
-			name := fmt.Sprintf("core-%d", i)
-			nodes = append(nodes, startLoggedNode(t, network, name, loader.RoleCoordination, fmt.Sprintf(`"control":"%s:8000"`, name), logger))
-		}
-		nodes = append(nodes, startLoggedNode(t, network, "edge-1", loader.RoleGateway, `"calls":"edge-1:80","ready":"edge-1:81"`, logger))
-		transport := &http.Transport{DialContext: network.Dial("client")}
-		client := &http.Client{Transport: transport}
+		nodes, client := startSystem(t, logger)
 		call := func(method, url, body string) int {
 			request, err := http.NewRequest(method, url, strings.NewReader(body))
 			if err != nil {
@@ -97,11 +85,6 @@
 		if since := logs.text()[before:]; strings.Contains(since, "leader-lost") || strings.Contains(since, "entry-decode-failed") {
 			t.Errorf("an instance has lost the leader or an entry: %s", since)
 		}
-		transport.CloseIdleConnections()
-		for _, n := range nodes {
-			if err := n.Stop(); err != nil {
-				t.Error(err)
-			}
-		}
+		stopSystem(t, nodes, client)
 	})
 }
--- a/cranberryd/node/malformed_test.go
+++ b/cranberryd/node/malformed_test.go
@@ -1,7 +1,6 @@
 package node_test
 
 import (
-	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -9,9 +8,8 @@
 	"testing/synctest"
 	"time"
 
-	"cranberrystack.dev/cranberryd/loader"
-	"cranberrystack.dev/cranberryd/node"
-	"cranberrystack.dev/cranberrystack/faker"
+	"github.com/go-kit/log"
+
 	"cranberrystack.dev/cranberrystack/forwarder"
 )
 
@@ -37,15 +35,7 @@
 		{http.MethodDelete, "http://edge-1:80/%ff%00"},
 	}
 	synctest.Test(t, func(t *testing.T) {
-		network := faker.NewNetwork()
-		var nodes []*node.Node
-		for i := 1; i <= 3; i++ {
-			name := fmt.Sprintf("core-%d", i)
-			nodes = append(nodes, startNode(t, network, name, loader.RoleCoordination, fmt.Sprintf(`"control":"%s:8000"`, name)))
-		}
-		nodes = append(nodes, startNode(t, network, "edge-1", loader.RoleGateway, `"calls":"edge-1:80","ready":"edge-1:81"`))
-		transport := &http.Transport{DialContext: network.Dial("client")}
-		client := &http.Client{Transport: transport}
+		nodes, client := startSystem(t, log.NewNopLogger())
 		time.Sleep(5 * time.Second)
 		for _, target := range targets {
 			for _, body := range bodies {
@@ -85,11 +75,6 @@
 		if !strings.Contains(string(answer), `"code":"ok"`) {
 			t.Errorf("overview after the malformed messages: %s", answer)
 		}
-		transport.CloseIdleConnections()
-		for _, n := range nodes {
-			if err := n.Stop(); err != nil {
-				t.Error(err)
-			}
-		}
+		stopSystem(t, nodes, client)
 	})
 }
--- a/cranberryd/node/node_test.go
+++ b/cranberryd/node/node_test.go
@@ -50,6 +50,30 @@
 	return n
 }
 
+// startSystem starts three coordination instances and a gateway, and returns them in this
+// order with a client of their network.
+func startSystem(t *testing.T, logger log.Logger) ([]*node.Node, *http.Client) {
+	t.Helper()
+	network := faker.NewNetwork()
+	var nodes []*node.Node
+	for i := 1; i <= 3; i++ {
+		name := fmt.Sprintf("core-%d", i)
+		nodes = append(nodes, startLoggedNode(t, network, name, loader.RoleCoordination, fmt.Sprintf(`"control":"%s:8000"`, name), logger))
+	}
+	nodes = append(nodes, startLoggedNode(t, network, "edge-1", loader.RoleGateway, `"calls":"edge-1:80","ready":"edge-1:81"`, logger))
+	return nodes, &http.Client{Transport: &http.Transport{DialContext: network.Dial("client")}}
+}
+
+func stopSystem(t *testing.T, nodes []*node.Node, client *http.Client) {
+	t.Helper()
+	client.CloseIdleConnections()
+	for _, n := range nodes {
+		if err := n.Stop(); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
 // TestJobThroughGateway starts three coordination instances and a gateway, applies a
 // catalog, submits, queries and cancels a job through the gateway, reads the metrics
 // and stops the nodes. It guards against faults in how a node is assembled.
