coordinator: log delayed starts, and starts of runs that are not placed

The logs tell when a run was given up and why, but not when a start was sent: a start that waits for the leader lease left no line, nor did one that is answered after its run was dropped. So a start that is sent too late could not be told from replicas that differ.

Change: start-delayed names a start that has waited a second or more, with the time; lost-run-started one that a worker has accepted although its run is not placed any more.

The tests of lapses, unsent and late starts, events and counters pass.

--- a/coordinator/starter.go
+++ b/coordinator/starter.go
@@ -20,6 +20,9 @@
 	unsentRetryDelay   = 20 * time.Millisecond
 	maxOrphanStopCalls = 4
 	stopRetryDelay     = 250 * time.Millisecond
+	// delayedStart is how long a start may wait for the leader lease before the wait is
+	// logged.
+	delayedStart = time.Second
 	// stopResendDelay is the time after which an accepted stop is sent again if
 	// its run is still alive.
 	stopResendDelay = time.Second
@@ -87,6 +90,7 @@
 // nextStartOrder prepares the next order to start a run. The last result is false if the
 // run must not be started any more.
 func (c *Coordinator) nextStartOrder(lead *leadership, run scheduler.Run, spec string) (StartOrder, bool) {
+	asked := time.Now()
 	if !c.lockLeased(lead) {
 		return StartOrder{}, false
 	}
@@ -105,6 +109,9 @@
 		c.runEvent("start-withheld", run.ID, run.Worker, "", "reason", reason)
 		return StartOrder{}, false
 	}
+	if waited := now.Sub(asked); waited >= delayedStart {
+		c.event("start-delayed", "run", run.ID, "worker", run.Worker, "waited-ms", waited.Milliseconds(), "term", uint64(lead.fencingToken))
+	}
 	deadline := observation.RenewLease(c.options.startLease, now)
 	attempt.Deadline = max(attempt.Deadline, deadline)
 	return StartOrder{
@@ -140,6 +147,9 @@
 func (c *Coordinator) handleStartAnswer(lead *leadership, run scheduler.Run, answer OrderAnswer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if answer.Refusal == NotRefused && c.state.Run(run.ID) == nil {
+		c.event("lost-run-started", "run", run.ID, "worker", run.Worker, "incarnation", int64(run.Incarnation), "term", uint64(lead.fencingToken))
+	}
 	attempt := lead.attempts[run.ID]
 	if attempt == nil || c.lead != lead {
 		return
