coordinator: send no start of a run whose drop is being committed

Cause: the leader decides to drop the runs of an unresponsive worker whose leases have ended, and the drop is committed later. Until it was applied, a start of such a run was still sent: nextStartOrder compared only with the applied state. The worker began the run, the drop was applied, and the task was placed again. This needs a worker that was silent for longer than a lease, answered one poll, got new runs, and missed the next poll, which had renewed no lease since nothing was placed there when it was sent. Its lease deadline was still the old one. On an instance short of processor the commit takes hundreds of milliseconds.

Change: from the proposal of a drop, or of an end, on, the leadership sends no start of the run. A start call that was sent before has renewed the lease deadline under the same lock, so that no drop for ended leases can be decided until it is past.

Ruled out for these cases: a change of leader (one term), a replaced worker (none was restarted), late orders.

--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -215,10 +215,14 @@
 	lost := c.state.LostRuns(worker, lead.attempts, poll, lead.fencingToken)
 	var commands []scheduler.Command
 	if ends != nil {
+		for i := range ends.Ends {
+			lead.givenUp[ends.Ends[i].Run] = true
+		}
 		commands = append(commands, scheduler.Command{RecordEnds: ends})
 	}
 	if len(lost) > 0 {
 		c.logLostRuns(lost, id, "not on the worker", lead)
+		lead.giveUp(lost)
 		commands = append(commands, scheduler.Command{Drop: &scheduler.Drop{Runs: lost, Reason: "not on the worker"}})
 	}
 	if len(commands) == 0 {
--- a/coordinator/cluster_test.go
+++ b/coordinator/cluster_test.go
@@ -69,6 +69,8 @@
 	// forwardedReports counts the reports that one instance forwarded to another.
 	forwardedReports atomic.Int64
 	startedAt        time.Time
+	// losesEntries makes the instances lose the messages of the log that hold entries.
+	losesEntries atomic.Bool
 }
 
 type workerState struct {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -122,6 +122,9 @@
 	// which no start was sent. A run of the same term that is not in it may stem
 	// from an earlier leadership in that term.
 	unsentRuns map[scheduler.RunID]bool
+	// givenUp holds the runs whose drop or end has been proposed. No start of them may be
+	// sent, also before that is committed: their tasks are placed again then.
+	givenUp map[scheduler.RunID]bool
 	// droppingUnsent says that a drop of unsent runs is being committed.
 	droppingUnsent bool
 	// adviceWanted holds the steps for which the last plan wants advice, without those
@@ -366,6 +369,7 @@
 		planner:        scheduler.NewPlanner(),
 		attempts:       map[scheduler.RunID]*scheduler.StartAttempt{},
 		unsentRuns:     map[scheduler.RunID]bool{},
+		givenUp:        map[scheduler.RunID]bool{},
 		polling:        map[identifier.WorkerID]bool{},
 		droppingRuns:   map[identifier.WorkerID]bool{},
 		adviceWanted:   map[scheduler.StepID]bool{},
--- a/coordinator/host_test.go
+++ b/coordinator/host_test.go
@@ -133,6 +133,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if h.cluster.losesEntries.Load() && len(message.Entries) > 0 {
+		return nil, errUnreachable
+	}
 	return target.Node().Handle(ctx, message)
 }
 
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -135,6 +135,13 @@
 	go c.afterProposal(lead, p, func() { lead.droppingUnsent = false })
 }
 
+// giveUp records that the drop or the end of runs is being proposed.
+func (l *leadership) giveUp(runs []scheduler.RunID) {
+	for _, id := range runs {
+		l.givenUp[id] = true
+	}
+}
+
 func (l *leadership) removeUnsent(runs []scheduler.Run) {
 	for i := range runs {
 		delete(l.unsentRuns, runs[i].ID)
@@ -164,7 +171,14 @@
 	for _, id := range runs {
 		c.logLostRuns([]scheduler.RunID{id}, c.state.Run(id).Worker, reason, lead)
 	}
-	return c.enqueue(lead.fencingToken, scheduler.Command{Drop: &scheduler.Drop{Runs: runs, Reason: reason, NotStarted: true}})
+	return c.proposeDrop(lead, &scheduler.Drop{Runs: runs, Reason: reason, NotStarted: true})
+}
+
+// proposeDrop queues a drop of runs, of which no start is sent from now on. The caller
+// holds mu.
+func (c *Coordinator) proposeDrop(lead *leadership, drop *scheduler.Drop) *proposal {
+	lead.giveUp(drop.Runs)
+	return c.enqueue(lead.fencingToken, scheduler.Command{Drop: drop})
 }
 
 // dropExpired drops the runs of unresponsive workers once their leases have
@@ -199,7 +213,7 @@
 		c.event("leases-expired", "worker", worker.ID, "incarnation", int64(worker.Incarnation), "runs", len(drop.Runs), "term", uint64(lead.fencingToken))
 		c.logLostRuns(drop.Runs, worker.ID, drop.Reason, lead)
 		lead.droppingRuns[worker.ID] = true
-		p := c.enqueue(lead.fencingToken, scheduler.Command{Drop: drop})
+		p := c.proposeDrop(lead, drop)
 		go c.afterProposal(lead, p, func() { delete(lead.droppingRuns, worker.ID) })
 	}
 	c.pruneEnded()
@@ -214,8 +228,8 @@
 	done()
 }
 
-// pruneEnded drops the stop events, start attempts and unsent runs of runs and jobs
-// that are no longer in the state. The caller holds mu.
+// pruneEnded drops the stop events, start attempts, unsent and given up runs of runs and
+// jobs that are no longer in the state. The caller holds mu.
 func (c *Coordinator) pruneEnded() {
 	for id := range c.lead.stopEvents {
 		if c.state.Job(id) == nil {
@@ -227,6 +241,11 @@
 			delete(c.lead.attempts, id)
 		}
 	}
+	for id := range c.lead.givenUp {
+		if c.state.Run(id) == nil {
+			delete(c.lead.givenUp, id)
+		}
+	}
 	for id := range c.lead.unsentRuns {
 		if c.state.Job(id.Task.Job) == nil {
 			delete(c.lead.unsentRuns, id)
--- a/coordinator/starter.go
+++ b/coordinator/starter.go
@@ -97,7 +97,7 @@
 	defer c.mu.Unlock()
 	attempt := lead.attempts[run.ID]
 	job := c.state.Job(run.ID.Task.Job)
-	if attempt == nil || c.state.Run(run.ID) == nil || job == nil || !job.Active() || lead.observer.Stopping(&run) {
+	if attempt == nil || c.state.Run(run.ID) == nil || job == nil || !job.Active() || lead.givenUp[run.ID] || lead.observer.Stopping(&run) {
 		return StartOrder{}, false
 	}
 	now := time.Now()
@@ -181,7 +181,7 @@
 		c.orderStop(scheduler.Stop{Run: run.ID, Cause: scheduler.CauseUnanswered, Reason: "an earlier start has no answer"}, now)
 		return
 	}
-	c.enqueue(lead.fencingToken, scheduler.Command{Drop: &scheduler.Drop{Runs: []scheduler.RunID{run.ID}, Reason: string(answer.Refusal), NotStarted: true}})
+	c.proposeDrop(lead, &scheduler.Drop{Runs: []scheduler.RunID{run.ID}, Reason: string(answer.Refusal), NotStarted: true})
 }
 
 // refusalBackoff is how long a worker gets no new runs after it refused a start
--- a/coordinator/unsent_test.go
+++ b/coordinator/unsent_test.go
@@ -25,7 +25,7 @@
 	}
 	now := time.Now()
 	c.lead = &leadership{
-		ctx: context.Background(), fencingToken: 3, attempts: map[scheduler.RunID]*scheduler.StartAttempt{}, unsentRuns: map[scheduler.RunID]bool{},
+		ctx: context.Background(), fencingToken: 3, attempts: map[scheduler.RunID]*scheduler.StartAttempt{}, unsentRuns: map[scheduler.RunID]bool{}, givenUp: map[scheduler.RunID]bool{},
 		observer: scheduler.NewObserver(now, 6*time.Second, 4*time.Second),
 	}
 	run := scheduler.Run{ID: scheduler.RunID{Task: scheduler.TaskID{Job: "1"}, Number: 1}, Worker: "w", Incarnation: 1}
