coordinator: schedules of overloaded instances

The schedules had lost and late orders, but no instance that is only slow: writes to the log that hold up the event loop, links, calls to workers and their responses delayed independently, reports relayed late, starts without a connection. Leader leases lapse and leaders change again and again meanwhile. checkHistory is unchanged.

--- a/coordinator/cluster_test.go
+++ b/coordinator/cluster_test.go
@@ -45,6 +45,8 @@
 	machines coordinator.MachineManager
 	// start replaces the instances' calls to start runs; it may be nil.
 	start func(context.Context, coordinator.Destination, coordinator.StartOrder) (coordinator.OrderAnswer, error)
+	// load slows the instances and all calls down; nil means no load.
+	load *load
 
 	mu   sync.Mutex
 	down map[string]bool
@@ -112,6 +114,9 @@
 	}
 	// Calls in flight arrive after linkDelay and fail.
 	time.Sleep(time.Second)
+	if c.load != nil {
+		c.load.calls.Wait()
+	}
 	synctest.Wait()
 }
 
@@ -159,6 +164,9 @@
 	if c.start != nil {
 		orders.Start = c.start
 	}
+	if c.load != nil {
+		orders = c.load.slowOrders(orders)
+	}
 	return orders
 }
 
@@ -210,6 +218,9 @@
 
 func (c *cluster) report(ctx context.Context, id identifier.WorkerID, worker *faker.TaskWorker, state scheduler.WorkerState) {
 	sequence, clock := worker.NextReport()
+	if c.load != nil {
+		time.Sleep(c.load.delayOfReport())
+	}
 	dataCenter := identifier.DataCenterID("dc")
 	if c.dataCenterOf != nil {
 		dataCenter = c.dataCenterOf(id)
--- a/coordinator/host_test.go
+++ b/coordinator/host_test.go
@@ -37,7 +37,12 @@
 	h.starts++
 	c.mu.Unlock()
 	files := journaler.DefaultFileOperations()
-	files.Sync = func(*os.File) error { return nil }
+	files.Sync = func(*os.File) error {
+		if c.load != nil {
+			time.Sleep(c.load.delayOfWrite())
+		}
+		return nil
+	}
 	opened, err := coordinator.Open(coordinator.Config{
 		ID: identifier.InstanceID(h.name), Dir: h.dir, Address: h.name, ReportTo: h.name,
 		Seeds: c.seeds, Bootstrap: bootstrap, Voters: 3,
@@ -111,8 +116,11 @@
 // reach returns the instance at an address after linkDelay, or errUnreachable if
 // the two are partitioned or the instance is down.
 func (h *host) reach(ctx context.Context, address string) (*coordinator.Coordinator, error) {
-	time.Sleep(linkDelay)
 	c := h.cluster
+	time.Sleep(linkDelay)
+	if c.load != nil {
+		time.Sleep(c.load.delayOfLink())
+	}
 	c.mu.Lock()
 	blocked := c.down[address] || c.down[h.name] || c.partitioned[[2]string{h.name, address}]
 	c.mu.Unlock()
@@ -129,6 +137,13 @@
 }
 
 func (h *host) send(ctx context.Context, peer replicator.Peer, message replicator.Message) ([]replicator.Message, error) {
+	if h.cluster.load != nil {
+		return overSlowLink(ctx, h.cluster.load, func(ctx context.Context) ([]replicator.Message, error) { return h.deliver(ctx, peer, message) })
+	}
+	return h.deliver(ctx, peer, message)
+}
+
+func (h *host) deliver(ctx context.Context, peer replicator.Peer, message replicator.Message) ([]replicator.Message, error) {
 	target, err := h.reach(ctx, peer.Address)
 	if err != nil {
 		return nil, err
