replicator: count no time twice while the event loop is held up

Cause: the event loop passed the ticker's own time to the core. While a slow write holds the loop up, that time is older than the time of the message handled before it. It set the core's clock back, and the next message counted the same span again. Elections began early, and a voter could grant a vote while the leader that it had just heard from still held its lease, of which a quarter of the election timeout is the margin.

Change: a tick is given the present time, as messages are.

Ruled out: ignoring a time that steps back, in the core, breaks TestElectionsSurviveClockJumps.

--- a/replicator/node.go
+++ b/replicator/node.go
@@ -349,8 +349,9 @@
 		select {
 		case <-n.stop:
 			return
-		case now := <-ticker.C:
-			n.processOutput(n.core.Tick(now), nil)
+		case <-ticker.C:
+			// After a hold-up, the ticker's time is older than that of the last message.
+			n.processOutput(n.core.Tick(time.Now()), nil)
 		case in := <-n.messages:
 			n.processOutput(n.core.Step(in.message, time.Now()), &in)
 		case p := <-n.proposals:
