coordinator: await the lease of an incarnation that has not registered

Cause: the leader counts the lease of a start on the clock of the incarnation that it knows. A worker that has restarted under its id, and whose reports are lost, accepts the start: its clock began anew, so that the deadline is far ahead, and it holds the run for up to the longest lease. The leader, which gets no answer, gave the run up after 2.5 s.

Change: the runs of an unresponsive worker are not dropped before the longest lease after their last start has certainly ended.

--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -202,7 +202,7 @@
 			Reason: "leases have ended", Suspicion: lead.observer.SuspicionOfLost(c.state, worker, lead.attempts, now),
 		}
 		for id, run := range placed {
-			if !lead.observer.MayBeAliveLate(run, worker, lead.attempts[id], lead.fencingToken, wallTime()) {
+			if !lead.observer.MayOutlastDeadline(lead.attempts[id], now) && !lead.observer.MayBeAliveLate(run, worker, lead.attempts[id], lead.fencingToken, wallTime()) {
 				drop.Runs = append(drop.Runs, id)
 				drop.Checkpoints = append(drop.Checkpoints, observation.LastCheckpoint(id))
 			}
--- a/coordinator/starter.go
+++ b/coordinator/starter.go
@@ -114,6 +114,7 @@
 	}
 	deadline := observation.RenewLease(c.options.startLease, now)
 	attempt.Deadline = max(attempt.Deadline, deadline)
+	attempt.SentAt = now
 	return StartOrder{
 		Run: run.ID, Spec: spec, Deadline: deadline, FencingToken: lead.fencingToken,
 		Checkpoint: run.Checkpoint, Ticket: run.Ticket, Urgency: job.Policy.Priority,
--- a/scheduler/tracker.go
+++ b/scheduler/tracker.go
@@ -17,6 +17,8 @@
 	// Deadline is the latest time on the worker's clock at which it accepts a
 	// start.
 	Deadline WorkerMilli
+	// SentAt is when the last start was sent, zero if none was.
+	SentAt time.Time
 	// Started is when the worker confirmed that it has the run.
 	Started time.Time
 	// Refused is when the worker responded that the run can't start any more.
@@ -118,6 +120,12 @@
 	return attempt == nil || attempt.Unanswered || run.FencingToken < token
 }
 
+// MayOutlastDeadline reports whether a run that was ordered to start may be alive on an
+// incarnation of its worker that has not registered, on whose clock its lease ends later.
+func (o *Observer) MayOutlastDeadline(attempt *StartAttempt, now time.Time) bool {
+	return attempt != nil && !attempt.SentAt.IsZero() && now.Sub(attempt.SentAt) <= certainlyEndsWithin(o.MaxLease)
+}
+
 // LostRuns returns the placed runs of a worker that are certainly lost.
 func (s *State) LostRuns(worker *Worker, attempts map[RunID]*StartAttempt, poll *PollResult, token FencingToken) []RunID {
 	var lost []RunID
