coordinator: use no clock of another incarnation of a worker

Cause: the answer to a start or a stop may arrive after the worker's next incarnation has registered. Its clock, that of the earlier incarnation, was recorded for the later one, whose clock began anew. Deadlines of starts were then minutes ahead, so that a start in transit was accepted long after its run had been given up. The answer of a process that is not the addressed worker counted likewise.

Change: such a clock is not recorded.

--- a/coordinator/starter.go
+++ b/coordinator/starter.go
@@ -158,7 +158,7 @@
 	attempt.CallsInFlight = 0
 	now := time.Now()
 	observation := lead.observer.Track(run.Worker, run.Incarnation, now)
-	observation.RecordContact(answer.Clock, now)
+	recordAnswer(observation, &run, answer, now)
 	if answer.Refusal == NotRefused {
 		attempt.Started = now
 		attempt.Unanswered = false
@@ -185,6 +185,14 @@
 	c.proposeDrop(lead, &scheduler.Drop{Runs: []scheduler.RunID{run.ID}, Reason: string(answer.Refusal), NotStarted: true})
 }
 
+// recordAnswer records the contact by the answer to an order about a run, unless it may be
+// of another process than the observed one, whose clock is another one too.
+func recordAnswer(observation *scheduler.WorkerObservation, run *scheduler.Run, answer OrderAnswer, now time.Time) {
+	if observation.Incarnation == run.Incarnation && answer.Refusal != RefusedOtherIncarnation {
+		observation.RecordContact(answer.Clock, now)
+	}
+}
+
 // refusalBackoff is how long a worker gets no new runs after it refused a start
 // as unhealthy or for lack of capacity, responded to none of a start's calls, or did not
 // start a member of a gang in time.
@@ -306,7 +314,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	lead.observer.Track(run.Worker, run.Incarnation, now).RecordContact(answer.Clock, now)
+	recordAnswer(lead.observer.Track(run.Worker, run.Incarnation, now), &run, answer, now)
 	if attempt := lead.attempts[run.ID]; attempt != nil {
 		attempt.Stopped = now
 	}
