scheduler: a poll says nothing about a start that was answered later

Cause: a worker that had restarted under its id answered a poll, then accepted a start of a run that was assigned to its earlier incarnation. When the answer to the start was handled before the poll result, the run counted as lost, since a later incarnation did not list it.

Change: as for runs of the same incarnation, a start that was answered after the poll was sent is not judged by that poll.

--- a/coordinator/cluster_test.go
+++ b/coordinator/cluster_test.go
@@ -48,6 +48,9 @@
 	// load slows the instances and all calls down; nil means no load.
 	load *load
 
+	// poll replaces the instances' polls; it may be nil.
+	poll func(ctx context.Context, caller string, to coordinator.Destination, order coordinator.PollOrder) (scheduler.PollResult, error)
+
 	mu   sync.Mutex
 	down map[string]bool
 	// partitioned holds the pairs of sender and receiver between which no call
@@ -167,6 +170,11 @@
 	if c.load != nil {
 		orders = c.load.slowOrders(orders)
 	}
+	if c.poll != nil {
+		orders.Poll = func(ctx context.Context, to coordinator.Destination, order coordinator.PollOrder) (scheduler.PollResult, error) {
+			return c.poll(ctx, caller, to, order)
+		}
+	}
 	return orders
 }
 
--- a/scheduler/tracker.go
+++ b/scheduler/tracker.go
@@ -81,7 +81,7 @@
 //   - The worker confirmed a stop of the run, or refused to start it, before
 //     the poll was sent.
 //   - The poll was answered by a later incarnation than the run was assigned
-//     to, and no start is unanswered.
+//     to, no start is unanswered, and none was answered after the poll was sent.
 //   - A start is unanswered, the poll was not answered by a later incarnation,
 //     and the worker's clock is past the start's deadline.
 //   - No start is unanswered, and the worker confirmed the start before the
@@ -98,8 +98,9 @@
 		return true
 	case run.Incarnation < poll.Incarnation:
 		// The incarnation that the run was assigned to has ended. An
-		// unanswered start may still reach the next one.
-		return !attempt.Unanswered
+		// unanswered start may still reach the next one, and one that was answered
+		// after the poll was sent may have.
+		return !attempt.Unanswered && (attempt.Started.IsZero() || attempt.Started.Before(poll.Sent))
 	case attempt.Unanswered:
 		return poll.Clock > attempt.Deadline
 	}
