coordinator: send no start to a worker that is leaving

A start reached a worker more than two seconds after its draining had been acknowledged.

Cause: only placement looked at the state of the worker. A start that waited for a connection or for the leader lease was sent whatever the worker had reported meanwhile.

Change: such a start is withheld, as on an emptied data centre, and its task is placed again.

--- a/coordinator/starter.go
+++ b/coordinator/starter.go
@@ -127,6 +127,8 @@
 	switch {
 	case worker == nil || c.state.Overcommitted(worker) || !lead.observer.KnowsCapacity(c.state, worker, now):
 		return "capacity has shrunk or is unknown"
+	case worker.State != scheduler.WorkerReady:
+		return "worker is leaving"
 	case c.state.InEmptiedDataCenter(worker):
 		return "data centre is emptied"
 	}
