coordinator: repeat the drop of a run that was not started

A task never ran again while the leadership lasted.

Cause: the drop of a run whose start was refused or never sent was proposed once. If it was not committed, nothing started, dropped or polled the run away: no start of it is sent once it has been given up.

Change: a run that is still placed when the proposal is over counts as unsent, and the next plan proposes its drop again.

No way was found to lose such a commit within a term but a disk that stalls for five seconds.

--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -181,6 +181,16 @@
 	return c.enqueue(lead.fencingToken, scheduler.Command{Drop: drop})
 }
 
+// repeatDrop lets the drop of a run that was not started be repeated if it is not applied.
+// The caller holds mu.
+func (c *Coordinator) repeatDrop(lead *leadership, id scheduler.RunID, p *proposal) {
+	go c.afterProposal(lead, p, func() {
+		if c.state.Run(id) != nil {
+			lead.unsentRuns[id] = true
+		}
+	})
+}
+
 // dropExpired drops the runs of unresponsive workers once their leases have
 // certainly ended, except runs that may be alive on a new incarnation. It also
 // prunes the leadership's state. The caller holds mu.
--- a/coordinator/starter.go
+++ b/coordinator/starter.go
@@ -188,7 +188,8 @@
 		c.orderStop(scheduler.Stop{Run: run.ID, Cause: scheduler.CauseUnanswered, Reason: "an earlier start has no answer"}, now)
 		return
 	}
-	c.proposeDrop(lead, &scheduler.Drop{Runs: []scheduler.RunID{run.ID}, Reason: string(answer.Refusal), NotStarted: true})
+	drop := &scheduler.Drop{Runs: []scheduler.RunID{run.ID}, Reason: string(answer.Refusal), NotStarted: true}
+	c.repeatDrop(lead, run.ID, c.proposeDrop(lead, drop))
 }
 
 // recordAnswer records the contact by the answer to an order about a run, unless it may be
@@ -219,7 +220,7 @@
 		lead.observer.Track(run.Worker, run.Incarnation, now).RecordUnreachable(now)
 	}
 	if !attempt.Unanswered && attempt.Started.IsZero() {
-		c.dropUnstarted(lead, []scheduler.RunID{run.ID})
+		c.repeatDrop(lead, run.ID, c.dropUnstarted(lead, []scheduler.RunID{run.ID}))
 		return
 	}
 	if attempt.Started.IsZero() {
