--- a/coordinator/late_start_test.go
+++ b/coordinator/late_start_test.go
@@ -90,3 +90,43 @@
 		}
 	})
 }
+
+// As deliverLateStart, but no report of the worker's next incarnation arrives before the
+// leases of the earlier one have ended.
+func TestLateStartAtUnregisteredIncarnationRunsNoTaskTwice(t *testing.T) {
+	const first = identifier.WorkerID("w-00")
+	capacity := scheduler.Resources{CPU: 64000, Memory: 128000, Accelerators: 8}
+	var c *cluster
+	var late chan coordinator.StartOrder
+	setup := func(created *cluster) {
+		c, late = created, make(chan coordinator.StartOrder, 1)
+		c.start = func(ctx context.Context, to coordinator.Destination, order coordinator.StartOrder) (coordinator.OrderAnswer, error) {
+			if to.Worker != first {
+				return c.workerCluster.Orders("network").Start(ctx, to, order)
+			}
+			select {
+			case late <- order:
+			default:
+			}
+			<-ctx.Done()
+			return coordinator.OrderAnswer{}, faker.ErrNoAnswer
+		}
+	}
+	inClusterWith(t, 100, 4, 1, setup, func(c *cluster) {
+		time.Sleep(time.Minute)
+		for _, h := range c.hosts {
+			c.workerCluster.SetPartition(h.name, []identifier.WorkerID{first}, true)
+		}
+		c.submit("long", jobID(1), scheduler.Request{Spec: "s", Steps: []scheduler.Step{step(1, 60000, 1)}})
+		order := <-late
+		c.mu.Lock()
+		c.workers[first].worker = c.workerCluster.AddWorker(first, capacity, "a", "r1-0")
+		c.workers[first].killed = true // its reports are lost
+		c.mu.Unlock()
+		c.addWorker("w-01", capacity, "r1-0")
+		time.Sleep(12 * time.Second)
+		answer, err := c.workerCluster.Orders("network").Start(context.Background(), coordinator.Destination{Worker: first}, order)
+		c.t.Logf("%s: %+v %v", order.Run, answer, err)
+		time.Sleep(time.Second)
+	})
+}
