--- a/cranberryd/node/main_test.go
+++ b/cranberryd/node/main_test.go
@@ -11,5 +11,9 @@
 // same time corrupt it and crash the runtime.
 func TestMain(m *testing.M) {
 	runtime.GOMAXPROCS(1)
-	os.Exit(m.Run())
+	code := m.Run()
+	if programFolder != "" {
+		_ = os.RemoveAll(programFolder)
+	}
+	os.Exit(code)
 }
