budgeter: close connections that wait for their clients for new ones

Callers saw gateways and instances that accepted no connection: clients that sent a body a byte at a time, or read no response, held all connections of a share, since only idle ones were closed for new ones. A pipelined request counted as idle and could be cut while it was handled.

A listener now knows for each connection whether it waits for its client: idle, a head, a body, a response that is being sent. Only a request that has been read completely and of whose response nothing has been sent is never cut. For a new connection the longest waiting one is closed; bodies and responses only after a second, so that a burst cuts no ordinary request. The two listeners of one share close each other's connections. Every body has to arrive within 20 s, also one of up to 8 KiB, which had no limit before.

TestConnectionsThatWaitForClientsMakeRoom fails on the old listener for parts of bodies, of chunks and unread responses (no further call served).

--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -6,6 +6,7 @@
 
 import (
 	"container/heap"
+	"container/list"
 	"context"
 	"fmt"
 	"net"
@@ -49,7 +50,10 @@
 	waiting        waitQueue
 	arrivals       uint64
 	// dialled holds the open connections that were dialled.
-	dialled   map[*trackedConn]bool
+	dialled map[*trackedConn]bool
+	// served holds the accepted connections that wait for their clients, those that have
+	// waited longest first.
+	served    list.List
 	exhausted int64
 	evicted   int64
 }
@@ -72,7 +76,7 @@
 	Peak    int `json:"peak"`
 	Waiting int `json:"waiting"`
 	// Exhausted counts the connections that were not opened or not accepted for
-	// lack of a share, and Evicted the idle ones closed for a new one.
+	// lack of a share, and Evicted those closed for a new one.
 	Exhausted int64 `json:"exhausted"`
 	Evicted   int64 `json:"evicted"`
 }
--- a/cranberryd/node/bodies.go
+++ b/cranberryd/node/bodies.go
@@ -22,8 +22,6 @@
 	bodyMemoryPercent = 5
 	// defaultBodyMemory is that bound if the settings have no memory, in bytes.
 	defaultBodyMemory = 16 << 20
-	// bodyTimeout bounds how long a body that is counted may take to arrive.
-	bodyTimeout = 10 * time.Second
 	// bodyRetryAfter is when a caller may send a call again that was refused for its
 	// body.
 	bodyRetryAfter = time.Second
@@ -84,7 +82,6 @@
 			return
 		}
 		defer b.used.Add(-size)
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
 		handler.ServeHTTP(w, r)
 	})
 }
--- a/cranberryd/node/node.go
+++ b/cranberryd/node/node.go
@@ -29,6 +29,8 @@
 const (
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
+	// bodyTimeout bounds how long the body of a request may take to arrive.
+	bodyTimeout = 20 * time.Second
 	// peerDialTimeout bounds the dial to another instance.
 	peerDialTimeout = 200 * time.Millisecond
 	// memoryLimitPercent is the share of the memory in the settings that the Go
@@ -166,7 +168,10 @@
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
 	bounded := p.budgeter.Listen(purpose, listener, p.isPeer)
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ConnState: bounded.ConnState}
+	server := &http.Server{
+		Handler: budgeter.Bound(handler, bodyTimeout), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		ConnState: bounded.ConnState, ConnContext: bounded.ConnContext,
+	}
 	p.servers = append(p.servers, server)
 	go func() {
 		if err := server.Serve(bounded); !errors.Is(err, http.ErrServerClosed) {
