node, server: limit the size of heads and the time of requests

Callers saw processes that ended for lack of memory: a client could send a head of 1 MiB (the default of net/http) on every connection, and nothing bounded the time that a client took to read a response.

The settings of a node have a section `requests`: heads of up to 16 KiB, which the users' pages allow, within 10 s, bodies within 20 s. The limit of a response is counted from the end of the head and leaves room for the body, the longest call (30 s) and 10 s more, so that it cuts no call in progress. `cranberryd run` gets the limit of heads and one minute for a request; it has no limit for responses, since its requests may run long.

--- a/cranberryd/loader/node.go
+++ b/cranberryd/loader/node.go
@@ -85,6 +85,17 @@
 	ToleratedLosses int `json:"tolerated-losses" validate:"min=0,max=3"`
 }
 
+// NodeRequests bounds the requests that a node accepts.
+type NodeRequests struct {
+	// MaxHeadBytes is the size up to which the head of a request is accepted.
+	MaxHeadBytes int `json:"max-head-bytes" validate:"min=1024,max=1048576"`
+	// HeadTimeout and BodyTimeout bound how long the head of a request and its body may
+	// take to arrive, and AnswerTimeout how long a response may take to be sent.
+	HeadTimeout   Duration `json:"head-timeout" validate:"time"`
+	BodyTimeout   Duration `json:"body-timeout" validate:"time"`
+	AnswerTimeout Duration `json:"answer-timeout" validate:"time"`
+}
+
 // NodeSettings holds the whole configuration of a node.
 type NodeSettings struct {
 	Instance   identifier.InstanceID   `json:"instance" validate:"required"`
@@ -122,10 +133,11 @@
 	// none.
 	MachineManager string `json:"machines,omitempty"`
 	// RunTimes says which run times the leader plans with.
-	RunTimes string      `json:"run-times" validate:"oneof=declared learned"`
-	Bounds   NodeBounds  `json:"bounds"`
-	Control  NodeControl `json:"control"`
-	Log      NodeLog     `json:"log"`
+	RunTimes string       `json:"run-times" validate:"oneof=declared learned"`
+	Bounds   NodeBounds   `json:"bounds"`
+	Requests NodeRequests `json:"requests"`
+	Control  NodeControl  `json:"control"`
+	Log      NodeLog      `json:"log"`
 }
 
 // reloadable lists the settings that a running node applies.
@@ -218,6 +230,7 @@
 	return &NodeSettings{
 		RunTimes: RunTimesDeclared,
 		Bounds:   NodeBounds{Grace: "6s", MaxLease: "6s", DutyLease: "3s"},
+		Requests: NodeRequests{MaxHeadBytes: 16 << 10, HeadTimeout: "10s", BodyTimeout: "20s", AnswerTimeout: "10s"},
 		Control:  NodeControl{HeartbeatInterval: "120ms", ElectionTimeout: "700ms", CompactEntries: 2000, ToleratedLosses: 1},
 		Log:      NodeLog{LinesPerSecond: 800},
 		Sharing:  SharingNone,
--- a/cranberryd/node/node.go
+++ b/cranberryd/node/node.go
@@ -27,10 +27,10 @@
 )
 
 const (
-	readHeaderTimeout = 10 * time.Second
-	idleTimeout       = 2 * time.Minute
-	// bodyTimeout bounds how long the body of a request may take to arrive.
-	bodyTimeout = 20 * time.Second
+	idleTimeout = 2 * time.Minute
+	// maxHandlingTime is the longest time that a call may take from its last byte to the
+	// response.
+	maxHandlingTime = 30 * time.Second
 	// peerDialTimeout bounds the dial to another instance.
 	peerDialTimeout = 200 * time.Millisecond
 	// memoryLimitPercent is the share of the memory in the settings that the Go
@@ -168,9 +168,16 @@
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
 	bounded := p.budgeter.Listen(purpose, listener, p.isPeer)
+	requests := p.settings.Requests
 	server := &http.Server{
-		Handler: budgeter.Bound(handler, bodyTimeout), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-		ConnState: bounded.ConnState, ConnContext: bounded.ConnContext,
+		Handler:           budgeter.Bound(handler, requests.BodyTimeout.Std()),
+		MaxHeaderBytes:    requests.MaxHeadBytes,
+		ReadHeaderTimeout: requests.HeadTimeout.Std(),
+		// It begins when the head has been read.
+		WriteTimeout: requests.BodyTimeout.Std() + maxHandlingTime + requests.AnswerTimeout.Std(),
+		IdleTimeout:  idleTimeout,
+		ConnState:    bounded.ConnState,
+		ConnContext:  bounded.ConnContext,
 	}
 	p.servers = append(p.servers, server)
 	go func() {
--- a/cranberryd/node/node_test.go
+++ b/cranberryd/node/node_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -163,6 +164,49 @@
 	})
 }
 
+// Guards against clients that take memory with heads of any size, or hold a connection with
+// a body that doesn't arrive. A head within the limit must be served on each listener.
+func TestRequestsAreLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes, client := startSystem(t, log.NewNopLogger())
+		defer time.Sleep(time.Second)
+		defer stopSystem(t, nodes, client)
+		time.Sleep(5 * time.Second)
+		transport := client.Transport.(*http.Transport)
+		status := func(address, text string) int {
+			conn, err := transport.DialContext(t.Context(), "tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			go func() { _, _ = io.WriteString(conn, text) }()
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Errorf("%s: %.50q: %v", address, text, err)
+				return 0
+			}
+			return response.StatusCode
+		}
+		for _, address := range []string{"edge-1:80", "edge-1:81", "edge-1:7000", "edge-1:9464", "core-1:8000", "core-1:7000", "core-1:9464"} {
+			for _, test := range []struct {
+				headBytes int
+				limited   bool
+			}{{16 << 10, false}, {24 << 10, true}} {
+				start := "GET /a HTTP/1.1\r\nHost: h\r\nA: "
+				text := start + strings.Repeat("a", test.headBytes-len(start)-4) + "\r\n\r\n"
+				if got := status(address, text); (got == http.StatusRequestHeaderFieldsTooLarge) != test.limited {
+					t.Errorf("%s: head of %d bytes: status %d, limited: %t", address, test.headBytes, got, test.limited)
+				}
+			}
+		}
+		begin := time.Now()
+		status("edge-1:80", "POST /q/00000000000000aa HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n{")
+		if took, limit := time.Since(begin), loader.DefaultNode().Requests.BodyTimeout.Std(); took > limit+time.Second {
+			t.Errorf("a body that doesn't arrive held its connection for %v, want %v", took, limit)
+		}
+	})
+}
+
 func TestLoadNodeRejectsInvalidSettings(t *testing.T) {
 	valid := fmt.Sprintf(nodeSettings, "n", "coordination", "h", "", "h", "/d")
 	tests := []struct{ name, settings, key string }{
@@ -176,6 +220,9 @@
 		{"learned run times", strings.Replace(valid, `"bootstrap"`, `"run-times":"learned","bootstrap"`, 1), ""},
 		{"unknown run times", strings.Replace(valid, `"bootstrap"`, `"run-times":"guessed","bootstrap"`, 1), "run-times"},
 		{"data centre without a name", strings.Replace(valid, `["z0"]`, `["z0",""]`, 1), "data-centers"},
+		{"limits of requests", strings.Replace(valid, `"bootstrap"`, `"requests":{"max-head-bytes":32768,"body-timeout":"1m"},"bootstrap"`, 1), ""},
+		{"heads of any size", strings.Replace(valid, `"bootstrap"`, `"requests":{"max-head-bytes":0},"bootstrap"`, 1), "max-head-bytes"},
+		{"bad time of bodies", strings.Replace(valid, `"bootstrap"`, `"requests":{"body-timeout":"0s"},"bootstrap"`, 1), "body-timeout"},
 		{"bad time", strings.Replace(valid, `"bootstrap"`, `"bounds":{"grace":"6"},"bootstrap"`, 1), "grace"},
 	}
 	for _, test := range tests {
@@ -199,6 +246,7 @@
 		{"address", `"h:7000"`, `"h:7001"`, "", "address"},
 		{"metrics and advice addresses", `"metrics":"h:9464"`, `"advice":"a:1"`, "", "advice,metrics"},
 		{"run times", `"bootstrap"`, `"run-times":"learned","bootstrap"`, "", "run-times"},
+		{"limits of requests", `"bootstrap"`, `"requests":{"head-timeout":"5s"},"bootstrap"`, "", "requests"},
 		{"data centres", `["z0"]`, `["z0","z1"]`, "", "data-centers"},
 		{"replicated log", `"bootstrap"`, `"control":{"tolerated-losses":2},"bootstrap"`, "", "control"},
 	}
--- a/cranberryd/server/server.go
+++ b/cranberryd/server/server.go
@@ -24,7 +24,10 @@
 
 const (
 	readHeaderTimeout = 10 * time.Second
-	idleTimeout       = 2 * time.Minute
+	// readTimeout bounds how long a request may take to arrive, with its body.
+	readTimeout  = time.Minute
+	idleTimeout  = 2 * time.Minute
+	maxHeadBytes = 16 << 10
 )
 
 // Listen opens a listener on an address. Tests replace the operating system's.
@@ -50,7 +53,10 @@
 	engine.Use(gin.Recovery())
 	engine.HandleMethodNotAllowed = true
 	s := &Server{engine: engine, authenticator: a}
-	s.http = &http.Server{Handler: engine, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	s.http = &http.Server{
+		Handler: engine, MaxHeaderBytes: maxHeadBytes,
+		ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+	}
 	engine.NoRoute(func(c *gin.Context) {
 		responder.Fail(c, responder.Problem{Status: http.StatusNotFound, Code: responder.CodeNotFound, Reason: "no such path"})
 	})
