coordinator: know the members that a seed names

An instance that joins with an empty disk knows only the seeds, and gets the log from a leader that may be none of them. Connections of that leader did not count as those of a member. It now takes the members that an instance names in its answer to the announcement, until it knows them from the log.

--- a/coordinator/cluster_test.go
+++ b/coordinator/cluster_test.go
@@ -73,7 +73,10 @@
 	dataCenters []identifier.DataCenterID
 	// forwardedReports counts the reports that one instance forwarded to another.
 	forwardedReports atomic.Int64
-	startedAt        time.Time
+	// parts counts the parts of the log that were sent, and partsOfStrangers those of an
+	// instance that the receiver did not know.
+	parts, partsOfStrangers atomic.Int64
+	startedAt               time.Time
 	// losesEntries makes the instances lose the messages of the log that hold entries.
 	losesEntries atomic.Bool
 }
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -8,6 +8,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -66,6 +67,9 @@
 	done    sync.WaitGroup
 	// contacts has a lock of its own.
 	contacts contactRelay
+	// namedMembers are the members of the log that another instance has named last, while
+	// this one was not a member. It is nil before.
+	namedMembers atomic.Pointer[[]string]
 
 	mu    sync.Mutex
 	state *scheduler.State
--- a/coordinator/host_test.go
+++ b/coordinator/host_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"os"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -151,6 +152,12 @@
 	if h.cluster.losesEntries.Load() && len(message.Entries) > 0 {
 		return nil, errUnreachable
 	}
+	if message.Snapshot != nil || len(message.Entries) > 0 {
+		h.cluster.parts.Add(1)
+		if !slices.Contains(append(target.Peers(), h.cluster.seeds...), h.name) {
+			h.cluster.partsOfStrangers.Add(1)
+		}
+	}
 	return target.Node().Handle(ctx, message)
 }
 
--- a/coordinator/membership.go
+++ b/coordinator/membership.go
@@ -61,12 +61,25 @@
 	ctx, cancel := context.WithTimeout(c.running, announceInterval)
 	defer cancel()
 	status, err := c.config.Announce(ctx, address, self)
+	if err == nil && len(status.Members) > 0 {
+		c.namedMembers.Store(&status.Members)
+	}
 	if err != nil || status.Leader == "" || status.Leader == address || status.Leader == self.Address {
 		return
 	}
 	_, _ = c.config.Announce(ctx, status.Leader, self)
 }
 
+// Peers returns the addresses of the members of the log. An instance that does not know
+// them yet takes those that another one has named, one of which sends it the log.
+func (c *Coordinator) Peers() []string {
+	peers := c.Status().Members
+	if named := c.namedMembers.Load(); named != nil && len(peers) == 0 {
+		return slices.Clone(*named)
+	}
+	return peers
+}
+
 func isMember(membership replicator.Membership, peer replicator.Peer) bool {
 	return slices.Contains(membership.Members(), peer)
 }
--- a/coordinator/scenario_test.go
+++ b/coordinator/scenario_test.go
@@ -227,7 +227,8 @@
 }
 
 // An instance that has lost its disk knows only the seeds. It must join the log
-// although the leader is not a seed.
+// although the leader is not a seed, and know the leader when that sends it the log, of
+// which instances accept parts of any size only from those they know.
 func TestWipedInstanceJoinsLeaderThatIsNoSeed(t *testing.T) {
 	inCluster(t, 31, 4, 2, func(c *cluster) {
 		last := c.hosts[3]
@@ -253,6 +254,9 @@
 		if total := len(view.Membership.Voters) + len(view.Membership.Learners); total != 4 || len(view.Membership.Voters) != 3 {
 			t.Errorf("%d members, %d voters, want 4 and 3", total, len(view.Membership.Voters))
 		}
+		if parts, strangers := c.parts.Load(), c.partsOfStrangers.Load(); parts == 0 || strangers != 0 {
+			t.Errorf("%d parts of the log were sent, %d by instances unknown to the receiver", parts, strangers)
+		}
 	})
 }
 
--- a/cranberryd/node/coordination.go
+++ b/cranberryd/node/coordination.go
@@ -84,7 +84,7 @@
 	if err != nil {
 		return err
 	}
-	p.peers = func() []string { return append(c.Status().Members, settings.SeedAddresses()...) }
+	p.peers = func() []string { return append(c.Peers(), settings.SeedAddresses()...) }
 	c.Routes(p.engine)
 	f := p.newForwarder(c.Handle)
 	p.seedSetters = append(p.seedSetters, c.SetSeeds)
