budgeter, node: bound the memory of heads, bodies and responses

Callers saw gateways and instances that ended for lack of memory: heads of thousands of tiny lines take many times their bytes once parsed, large bodies were bounded on some paths only (any host could send 64 MiB to the paths of the log), and responses that clients did not read were not bounded at all. Each connection stayed within its limits; their sum did not.

One bound, 24 % of `memory-mib`, replaces the one for bodies. It covers all listeners of a process: heads as they arrive, with what net/http may have read behind the request before; bodies by their declared size times the copies that are made; responses while they are being written. What does not fit closes connections that have waited for their clients for over a second, the longest first; then bodies are refused as before (429, unread), connections with heads or responses closed. A request that has been read completely is never cut, a quarter is left to small requests, and a large one may take a quarter more than the bound if it is the only one. Bodies on the paths of the log are free only for members. The bound follows a reload of `memory-mib`. The metrics `bodies` keep their fields, which now count all of this in estimated bytes, and get `closed`.

TestLargeBodiesAreRefusedBeyondMemory now uses real connections, since the bound needs them. It asserted that any host may send large messages of the log; it now asserts that only members may, and that others get 429. The rest is as strict as before.

Limits for each source address were ruled out, since calls come through a balancer, and closing connections at once, since large requests in a burst would cut each other.

--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -38,6 +38,7 @@
 	start  time.Time
 	mu     sync.Mutex
 	states map[Purpose]*state
+	memory memory
 }
 
 // state is the use of one share.
--- a/budgeter/listener.go
+++ b/budgeter/listener.go
@@ -121,7 +121,9 @@
 	}
 	switch state {
 	case http.StateIdle:
-		l.budgeter.enter(c, phaseIdle)
+		if !l.budgeter.ended(c) {
+			_ = c.Close()
+		}
 	case http.StateActive:
 		l.budgeter.enter(c, phaseHandling)
 	}
@@ -164,24 +166,29 @@
 	phase phase
 	// since is when the phase began, after the budgeter's start.
 	since time.Duration
-	// dropped is set before the connection is closed; it then has no place in the list.
+	// dropped is set before the connection is closed; it then has no place in the
+	// lists and no charge.
 	dropped bool
-	// waiting is its place in the list of its share.
-	waiting *list.Element
+	// waiting is its place in the list of its share, and charged that in the list of
+	// the memory.
+	waiting, charged *list.Element
+	memoryUse
 }
 
-// Read reads from the connection and notes the begin of a request.
+// Read reads from the connection. If the memory for the head of a request is missing,
+// it closes the connection.
 func (c *servedConn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
-	if n > 0 {
-		c.listener.budgeter.move(c, phaseIdle, phaseHead)
+	if n > 0 && !c.listener.budgeter.received(c, measure(data[:n]), len(data) == 1) {
+		_ = c.Close()
+		return c.Conn.Read(data)
 	}
 	return n, err
 }
 
-// Write writes to the connection and notes the begin of a response.
+// Write writes to the connection.
 func (c *servedConn) Write(data []byte) (int, error) {
-	c.listener.budgeter.move(c, phaseHandling, phaseSending)
+	c.listener.budgeter.sending(c)
 	return c.Conn.Write(data)
 }
 
@@ -205,15 +212,6 @@
 	b.advance(c, next)
 }
 
-// move begins a phase of a connection if it is in another one.
-func (b *Budgeter) move(c *servedConn, from, next phase) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if c.phase == from {
-		b.advance(c, next)
-	}
-}
-
 // advance begins a phase of a connection, from which on it counts as waiting for its
 // client or not. The caller holds mu.
 func (b *Budgeter) advance(c *servedConn, next phase) {
@@ -222,12 +220,15 @@
 	}
 	c.phase, c.since = next, time.Since(b.start)
 	c.waiting = toBack(&c.listener.state.served, c.waiting, c, next != phaseHandling)
+	c.charged = toBack(&b.memory.waiting, c.charged, c, next != phaseHandling && c.charge > 0)
 }
 
-// drop takes a connection that is being closed out of the list. The caller holds mu.
+// drop takes a connection that is being closed out of the lists. The caller holds mu.
 func (b *Budgeter) drop(c *servedConn) {
 	c.dropped = true
+	b.memory.set(c, 0)
 	c.waiting = toBack(&c.listener.state.served, c.waiting, c, false)
+	c.charged = toBack(&b.memory.waiting, c.charged, c, false)
 }
 
 // toBack moves a connection to the back of a list, or removes it, and returns its place.
--- a/cranberryd/node/bodies_test.go
+++ b/cranberryd/node/bodies_test.go
@@ -2,67 +2,99 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"cranberrystack.dev/cranberryd/loader"
+	"cranberrystack.dev/cranberrystack/budgeter"
 	"cranberrystack.dev/cranberrystack/forwarder"
 )
 
 // Guards against many large bodies at a time that use up the memory of one gateway after
-// the other: beyond the budget, calls are refused before their bodies are read, small
-// calls and the log's messages pass, and ended calls give their memory back.
+// the other: beyond the budget, calls are refused before their bodies are read, also on
+// the paths of the log; small calls and the messages of the log's members pass, and ended
+// calls give their memory back.
 func TestLargeBodiesAreRefusedBeyondMemory(t *testing.T) {
-	const size, fitting = 250_000, 5
-	budget := newBodyBudget(&loader.NodeSettings{MemoryMiB: fitting * size * 100 / bodyMemoryPercent >> 20})
+	const size, held, memoryMiB = 250_000, 4, 23
+	shares := newBudgeter(&loader.NodeSettings{MemoryMiB: memoryMiB, Descriptors: 4096, Role: loader.RoleGateway})
 	release := make(chan struct{})
 	var entered sync.WaitGroup
-	held := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		entered.Done()
-		<-release
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
-		w.WriteHeader(http.StatusOK)
+		if r.Header.Get("Held") != "" {
+			entered.Done()
+			<-release
+		}
+		w.WriteHeader(http.StatusNoContent)
 	})
-	call := func(handler http.Handler, path string, bytes int) *httptest.ResponseRecorder {
-		w := httptest.NewRecorder()
-		handler.ServeHTTP(w, httptest.NewRequest(http.MethodPost, path, strings.NewReader(strings.Repeat("x", bytes))))
-		return w
+	serve := func(exempt func(net.Addr) bool) string {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		bounded := shares.Listen(purposeCalls, listener, exempt)
+		server := &http.Server{
+			Handler:   budgeter.Bound(handler, time.Minute, refuse),
+			ConnState: bounded.ConnState, ConnContext: bounded.ConnContext, ReadHeaderTimeout: time.Minute,
+		}
+		go func() { _ = server.Serve(bounded) }()
+		t.Cleanup(func() { _ = server.Close() })
+		return "http://" + listener.Addr().String()
+	}
+	address, ofMembers := serve(nil), serve(func(net.Addr) bool { return true })
+	call := func(url string, bytes int, hold string) (*http.Response, string) {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, strings.NewReader(strings.Repeat("x", bytes)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set("Held", hold)
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Errorf("%d bytes to %s: %v", bytes, url, err)
+			return &http.Response{}, ""
+		}
+		defer response.Body.Close()
+		answer, _ := io.ReadAll(response.Body)
+		return response, string(answer)
 	}
 	var done sync.WaitGroup
-	entered.Add(fitting - 1)
-	for range fitting - 1 {
-		done.Go(func() { call(budget.bound(held, refuseCall), "/", size) })
+	entered.Add(held)
+	for range held {
+		done.Go(func() { call(address+"/", size, "yes") })
 	}
 	entered.Wait()
-	answered := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
-	refused := call(budget.bound(answered, refuseCall), "/", 2*size)
-	if refused.Code != http.StatusTooManyRequests || refused.Header().Get("Retry-After") == "" {
-		t.Errorf("a large call: %d %v, want 429 and when to retry", refused.Code, refused.Header())
+	for _, path := range []string{"/", "/log/messages", "/contacts"} {
+		if r, _ := call(address+path, 2*size, ""); r.StatusCode != http.StatusTooManyRequests || r.Header.Get("Retry-After") == "" {
+			t.Errorf("a large call to %s: %d %v, want 429 and when to retry", path, r.StatusCode, r.Header)
+		}
 	}
-	if w := call(budget.boundForwarded(answered), forwarder.Path, 2*size); !strings.Contains(w.Body.String(), `"code":"overloaded"`) {
-		t.Errorf("a large forwarded call: %d %s, want it refused as overloaded", w.Code, w.Body)
+	if r, answer := call(address+forwarder.Path, 2*size, ""); !strings.Contains(answer, `"code":"overloaded"`) {
+		t.Errorf("a large forwarded call: %d %s, want it refused as overloaded", r.StatusCode, answer)
 	}
 	for _, passes := range []struct {
-		handler http.Handler
-		path    string
-		bytes   int
+		url   string
+		bytes int
 	}{
-		{budget.bound(answered, refuseCall), "/", smallBody},
-		{budget.boundForwarded(answered), "/log/messages", 4 * size},
+		{address + "/", 8 << 10},
+		{ofMembers + "/log/messages", 4 * size},
 	} {
-		if w := call(passes.handler, passes.path, passes.bytes); w.Code != http.StatusNoContent {
-			t.Errorf("%d bytes to %s: %d, want them to pass", passes.bytes, passes.path, w.Code)
+		if r, _ := call(passes.url, passes.bytes, ""); r.StatusCode != http.StatusNoContent {
+			t.Errorf("%d bytes to %s: %d, want them to pass", passes.bytes, passes.url, r.StatusCode)
 		}
 	}
 	close(release)
 	done.Wait()
-	if w := call(budget.bound(answered, refuseCall), "/", 2*size); w.Code != http.StatusNoContent {
-		t.Errorf("after the others have ended: %d", w.Code)
+	if r, _ := call(address+"/", 2*size, ""); r.StatusCode != http.StatusNoContent {
+		t.Errorf("after the others have ended: %d", r.StatusCode)
 	}
-	if used := budget.used.Load(); used != 0 {
-		t.Errorf("%d bytes are still counted", used)
+	http.DefaultClient.CloseIdleConnections()
+	for end := time.Now().Add(time.Minute); shares.Memory().Used != 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d bytes are still counted", shares.Memory().Used)
+		}
 	}
 }
--- a/cranberryd/node/coordination.go
+++ b/cranberryd/node/coordination.go
@@ -97,7 +97,7 @@
 					p.reportFailure(err)
 				}
 			}()
-			return p.serve(settings.Listen.Control, purposeControl, p.bodies.bound(platform.ControlHandler(p.instrument(platform.Gateway(c.Relay(f.Do)))), refuseCall))
+			return p.serve(settings.Listen.Control, purposeControl, platform.ControlHandler(p.instrument(platform.Gateway(c.Relay(f.Do)))))
 		},
 	})
 	p.drain = func(context.Context) { c.Stop() }
--- a/cranberryd/node/descriptors.go
+++ b/cranberryd/node/descriptors.go
@@ -69,14 +69,16 @@
 	return int(limit.Cur)
 }
 
-// newBudgeter divides the descriptors of a node.
+// newBudgeter divides the descriptors of a node and bounds the memory of requests.
 func newBudgeter(settings *loader.NodeSettings) *budgeter.Budgeter {
 	total := max(descriptorLimit(settings)-foreignDescriptors, minDescriptors)
 	shares := map[budgeter.Purpose]budgeter.Share{}
 	for purpose, percent := range descriptorShares[settings.Role] {
 		shares[purpose] = budgeter.Share{Open: total * percent / 100, Dialling: maxDialling}
 	}
-	return budgeter.New(shares)
+	b := budgeter.New(shares)
+	b.SetMemory(requestMemory(settings))
+	return b
 }
 
 // workerConnections returns how a client opens connections to workers.
--- a/cranberryd/node/gateway.go
+++ b/cranberryd/node/gateway.go
@@ -61,7 +61,7 @@
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			go f.TrackLeader(ctx)
-			if err := p.serve(p.settings.Listen.Calls, purposeCalls, p.bodies.bound(platform.MemberHandler(p.instrument(f.Do)), refuseCall)); err != nil {
+			if err := p.serve(p.settings.Listen.Calls, purposeCalls, platform.MemberHandler(p.instrument(f.Do))); err != nil {
 				return err
 			}
 			return p.serve(p.settings.Listen.Ready, purposeMetrics, platform.ReadyHandler(p.ready))
--- a/cranberryd/node/node.go
+++ b/cranberryd/node/node.go
@@ -72,7 +72,6 @@
 	deps      Dependencies
 	messenger *messenger.Messenger
 	budgeter  *budgeter.Budgeter
-	bodies    *bodyBudget
 	recorder  *recorder.Recorder
 	logger    log.Logger
 	// engine routes the calls of other instances.
@@ -122,12 +121,12 @@
 	shares := newBudgeter(settings)
 	dial := messenger.Dial(shares.Dial(purposeInstances, budgeter.Dial(messenger.DialTimeout(deps.Dial, peerDialTimeout))))
 	p := &components{
-		settings: settings, deps: deps, logger: deps.Logger, budgeter: shares, bodies: newBodyBudget(settings),
+		settings: settings, deps: deps, logger: deps.Logger, budgeter: shares,
 		messenger: messenger.NewBounded("", dial, connsPerInstance), recorder: recorder.New(), engine: gin.New(),
 		failed: make(chan error, 1),
 	}
 	p.recorder.Publish("descriptors", p.descriptorUsage)
-	p.recorder.Publish("bodies", p.bodies.usage)
+	p.recorder.Publish("bodies", func() any { return shares.Memory() })
 	p.recorder.Publish("log.lines-dropped", func() any { return deps.DroppedLines() })
 	p.engine.Use(gin.Recovery())
 	p.engine.GET(varsPath, p.serveVars)
@@ -136,7 +135,7 @@
 			if err := p.serveMetrics(); err != nil {
 				return err
 			}
-			return p.serve(settings.Address, purposeCalls, p.bodies.boundForwarded(p.engine))
+			return p.serve(settings.Address, purposeCalls, p.engine)
 		},
 		OnStop: p.shutdown,
 	})
@@ -170,7 +169,7 @@
 	bounded := p.budgeter.Listen(purpose, listener, p.isPeer)
 	requests := p.settings.Requests
 	server := &http.Server{
-		Handler:           budgeter.Bound(handler, requests.BodyTimeout.Std()),
+		Handler:           budgeter.Bound(handler, requests.BodyTimeout.Std(), refuse),
 		MaxHeaderBytes:    requests.MaxHeadBytes,
 		ReadHeaderTimeout: requests.HeadTimeout.Std(),
 		// It begins when the head has been read.
@@ -256,6 +255,7 @@
 	}
 	n.components.deps.SetLogRate(settings.Log.LinesPerSecond)
 	limitMemory(settings)
+	n.components.budgeter.SetMemory(requestMemory(settings))
 	n.settings.Seeds, n.settings.Log, n.settings.MemoryMiB = settings.Seeds, settings.Log, settings.MemoryMiB
 	_ = n.logger.Log("event", "reloaded", "seeds", fmt.Sprint(settings.Seeds),
 		"applied", strings.Join(applied, ","), "needs-restart", strings.Join(restart, ","))
