node: collect the metrics for one request at a time

Many clients that read the metrics at a time each had all of them formatted in memory. Only one request now does so at a time; what waits for its client is charged as a response. The effect was not measured by itself.

--- a/cranberryd/node/node.go
+++ b/cranberryd/node/node.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"runtime/debug"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -78,6 +79,8 @@
 	engine   *gin.Engine
 	servers  []*http.Server
 	stopping atomic.Bool
+	// varsMu lets one request at a time collect the metrics.
+	varsMu sync.Mutex
 	// peers returns the addresses of the instances that replicate the log. It is nil
 	// on a gateway, which they never call.
 	peers func() []string
@@ -146,7 +149,10 @@
 const varsPath = "/debug/vars"
 
 func (p *components) serveVars(g *gin.Context) {
-	g.Data(http.StatusOK, "application/json; charset=utf-8", []byte(p.recorder.Vars().String()))
+	p.varsMu.Lock()
+	vars := p.recorder.Vars().String()
+	p.varsMu.Unlock()
+	g.Data(http.StatusOK, "application/json; charset=utf-8", []byte(vars))
 }
 
 // serveMetrics serves varsPath on the metrics address, if the settings have one.
