forwarder: answer calls without a copy of their document

An instance that answers forwarded calls encoded the document again for each of them, also the catalog, which all share. With a catalog of 2.7 MB and 850 clients that read nothing, it ended for lack of memory: the copies are made before the response is charged.

The answer is now written around the document as it is, which is JSON already. Its form on the wire is the same, but for white space in documents.

--- a/coordinator/routes.go
+++ b/coordinator/routes.go
@@ -45,7 +45,7 @@
 		}
 		ctx, cancel := context.WithTimeout(g.Request.Context(), handleTimeout)
 		defer cancel()
-		g.JSON(http.StatusOK, c.Handle(ctx, call))
+		_ = c.Handle(ctx, call).Respond(g.Writer)
 	})
 }
 
--- a/cranberryd/node/bodies.go
+++ b/cranberryd/node/bodies.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"encoding/json"
 	"net/http"
 	"time"
 
@@ -34,10 +33,9 @@
 // refuse answers a request whose body does not fit into the memory.
 func refuse(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == forwarder.Path {
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(forwarder.Answer{
+		_ = forwarder.Answer{
 			Code: responder.CodeOverloaded, Reason: bodyRefusal, RetryAfterMillis: bodyRetryAfter.Milliseconds(),
-		})
+		}.Respond(w)
 		return
 	}
 	responder.Write(w, responder.Problem{
--- a/cranberryd/node/gateway.go
+++ b/cranberryd/node/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -46,7 +45,7 @@
 	p.engine.POST(forwarder.Path, func(g *gin.Context) {
 		var call forwarder.Call
 		if responder.Decode(g, messenger.MaxMessageBytes, &call) {
-			g.JSON(http.StatusOK, f.Do(g.Request.Context(), call))
+			_ = f.Do(g.Request.Context(), call).Respond(g.Writer)
 		}
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -4,10 +4,14 @@
 package forwarder
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
+	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -95,6 +99,30 @@
 	Leader string `json:"leader,omitempty"`
 }
 
+// Respond writes the answer as the response to a forwarded call. The document, which may be
+// large, is neither encoded again nor copied.
+func (a Answer) Respond(w http.ResponseWriter) error {
+	document, end := a.Document, []byte("}")
+	a.Document = nil
+	start, err := json.Marshal(a)
+	if err != nil {
+		return fmt.Errorf("encode answer: %w", err)
+	}
+	if len(document) > 0 {
+		start = append(bytes.TrimSuffix(start, end), `,"document":`...)
+	} else {
+		end = nil
+	}
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.Header().Set("Content-Length", strconv.Itoa(len(start)+len(document)+len(end)))
+	for _, part := range [][]byte{start, document, end} {
+		if _, err := w.Write(part); err != nil {
+			return fmt.Errorf("write answer: %w", err)
+		}
+	}
+	return nil
+}
+
 // OK reports whether the call succeeded.
 func (a *Answer) OK() bool { return a.Code == CodeOK }
 
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -2,11 +2,17 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"net/http/httptest"
+	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"cranberrystack.dev/cranberrystack/forwarder"
 	"cranberrystack.dev/cranberrystack/responder"
 )
@@ -44,6 +50,49 @@
 	return forwarder.Answer{}, errNoResponse
 }
 
+// writes records what is written at a time.
+type writes struct {
+	httptest.ResponseRecorder
+	parts [][]byte
+}
+
+// Write records a part.
+func (w *writes) Write(data []byte) (int, error) {
+	w.parts = append(w.parts, data)
+	return w.ResponseRecorder.Write(data)
+}
+
+// Guards against copies of large documents, one for each caller, that use up the memory.
+func TestRespondCopiesNoDocument(t *testing.T) {
+	document := json.RawMessage(`{"a": "` + strings.Repeat("x", 1<<20) + `"}`)
+	for _, answer := range []forwarder.Answer{
+		{Code: forwarder.CodeOK},
+		{Code: forwarder.CodeOK, Document: json.RawMessage(`[1,2]`)},
+		{Code: forwarder.CodeOK, Document: document, Leader: "a"},
+		{Code: forwarder.CodeNotLeader, Reason: "r", RetryAfterMillis: 3, Leader: "a"},
+	} {
+		w := &writes{ResponseRecorder: *httptest.NewRecorder()}
+		if err := answer.Respond(w); err != nil {
+			t.Fatal(err)
+		}
+		var got forwarder.Answer
+		if err := json.Unmarshal(w.Body.Bytes(), &got); err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(answer, got); diff != "" {
+			t.Errorf("the answer changed: %s", diff)
+		}
+		if length := w.Header().Get("Content-Length"); length != strconv.Itoa(w.Body.Len()) {
+			t.Errorf("Content-Length %s for %d bytes", length, w.Body.Len())
+		}
+		for _, part := range w.parts {
+			if len(part) >= len(document) && &part[0] != &document[0] {
+				t.Error("the document was copied")
+			}
+		}
+	}
+}
+
 func TestDo(t *testing.T) {
 	submit := forwarder.Call{Kind: forwarder.KindSubmit}
 	state := forwarder.Call{Kind: forwarder.KindState}
