--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -1,7 +1,8 @@
 // Package budgeter divides the connections that a process may hold open among
 // their purposes, so that a storm for one purpose leaves those of the others alone.
 // Connections beyond a purpose's share wait in the order of their urgency. What is
-// not shared out is the reserve of files.
+// not shared out is the reserve of files. It also bounds the memory that the requests on
+// all accepted connections take.
 package budgeter
 
 import (
