--- a/coordinator/starter.go
+++ b/coordinator/starter.go
@@ -151,7 +151,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if answer.Refusal == NotRefused && c.state.Run(run.ID) == nil {
-		c.event("lost-run-started", "run", run.ID, "worker", run.Worker, "incarnation", int64(run.Incarnation), "term", uint64(lead.fencingToken))
+		c.event("lost-run-alive", "run", run.ID, "worker", run.Worker, "incarnation", int64(run.Incarnation), "term", uint64(lead.fencingToken))
 		// No run may be placed on the worker, so that no poll would find this one.
 		if worker := c.state.Worker(run.Worker); worker != nil && c.lead == lead {
 			c.stopOrphanedRun(lead, worker, run.ID)
