review: stand-ins of the second review guard their shared state

Cause: the watch of the memory and the restarts of a script shared a map. No check or bound changes.

--- a/review/rig2/caller.go
+++ b/review/rig2/caller.go
@@ -68,7 +68,7 @@
 	for begun, i := time.Now(), 0; time.Since(begun) < limit; i++ {
 		status, answer := c.call(method, c.system.control(i%coreCount), path, body, time.Second)
 		if status/100 == 2 {
-			c.record.note("operator: %s %s -> %d %s", method, path, status, answer)
+			c.record.note("operator: %s %s -> %d %.200s", method, path, status, answer)
 			return answer, nil
 		}
 		time.Sleep(200 * time.Millisecond)
@@ -85,23 +85,27 @@
 
 // configure sends the first configuration.
 func (c *caller) configure(queues ...queue) error {
+	_, err := c.operate(http.MethodPut, wire.Config, document(7, 3000, queues), 20*time.Second)
+	return err
+}
+
+// document returns a configuration.
+func document(version, timeout int, queues []queue) map[string]any {
 	var rows []map[string]any
 	for _, q := range queues {
 		rows = append(rows, map[string]any{
-			"name": q.name, "host": host, "path-prefix": "/" + q.name + "/", "kind": "non_idempotent", "timeout-ms": 3000,
+			"name": q.name, "host": host, "path-prefix": "/" + q.name + "/", "kind": "non_idempotent", "timeout-ms": timeout,
 			"objective-ms": 1000, "priority": q.priority, "worker-pool": pool, "max-attempts": q.maxAttempts, "stretch": 3.0, "open": false,
 		})
 	}
-	document := map[string]any{
-		"version": 7, "queues": rows,
+	return map[string]any{
+		"version": version, "queues": rows,
 		"pools": []map[string]any{{
 			"name": pool, "health-path": "/healthz", "max-connections": 64, "protocol": "h1", "tls": false, "guards-capacity": true, "standby": false,
 		}},
 		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 262144, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
 		"teams":  []map[string]any{{"name": "kaje80", "keys": []string{key}, "priority": 1, "guarantee": map[string]any{}}},
 	}
-	_, err := c.operate(http.MethodPut, wire.Config, document, 20*time.Second)
-	return err
 }
 
 var errNotAccepted = errors.New("the job was not accepted")
--- a/review/rig2/history.go
+++ b/review/rig2/history.go
@@ -15,6 +15,8 @@
 	CPU       int `json:"cpu"`
 	Memory    int `json:"memory"`
 	GPU       int `json:"gpu"`
+	// Text fills the spec up to the size of a real one.
+	Text string `json:"text,omitempty"`
 }
 
 func taskOf(spec string) taskSpec {
--- a/review/rig2/stale.go
+++ b/review/rig2/stale.go
@@ -220,7 +220,7 @@
 	begun := time.Now()
 	time.Sleep(beforeStop)
 	s.signal(name, syscall.SIGTERM)
-	<-s.processes[name].ended
+	<-s.process(name).ended
 	s.record.say("platform: %s has ended", name)
 	if err := s.startCore(leader, false); err != nil {
 		return err
--- a/review/rig2/system.go
+++ b/review/rig2/system.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -19,7 +20,8 @@
 	gatewayHost = 21
 	// standInHost is the last number of the address of all stand-ins.
 	standInHost = 41
-	coreMemory  = 280
+	// usualMemory is the memory of a core, in MiB.
+	usualMemory = 280
 	descriptors = 4096
 )
 
@@ -33,8 +35,12 @@
 	network                                                  string
 	internalPort, controlPort, callPort, okPort, metricsPort int
 	// machines holds the address of the machine manager for each core; it may be empty.
-	machines  map[string]string
+	machines map[string]string
+	// mu guards processes.
+	mu        sync.Mutex
 	processes map[string]*process
+	// memory is what a core may use, in MiB.
+	memory int
 }
 
 // process is a running program.
@@ -56,7 +62,7 @@
 		return nil, fmt.Errorf("create folder: %w", err)
 	}
 	s := &system{
-		record: record, folder: folder, program: program, processes: map[string]*process{}, machines: map[string]string{},
+		record: record, folder: folder, program: program, processes: map[string]*process{}, machines: map[string]string{}, memory: usualMemory,
 		network: fmt.Sprintf("127.%d.%d.", 20+rand.IntN(200), 1+rand.IntN(250)),
 	}
 	for _, port := range []*int{&s.internalPort, &s.controlPort, &s.callPort, &s.okPort, &s.metricsPort} {
@@ -109,7 +115,7 @@
 		"data-centers": []string{"z1", "z2", "z3", "z4"},
 		"address":      fmt.Sprintf("%s:%d", s.ip(host), s.internalPort),
 		"seeds":        s.controls()[:3], "listen": listen, "metrics": fmt.Sprintf("%s:%d", s.ip(host), s.metricsPort),
-		"bootstrap": bootstrap, "data-folder": data, "memory-mib": coreMemory, "descriptors": descriptors,
+		"bootstrap": bootstrap, "data-folder": data, "memory-mib": s.memory, "descriptors": descriptors,
 		"advice": "", "machines": s.machines[name],
 		"bounds":  map[string]any{"grace": "6s", "max-lease": "6000ms", "duty-lease": "3000ms", "stop-time": "200ms", "gang-wait": "3000ms"},
 		"control": map[string]any{"tolerated-losses": 1},
@@ -153,7 +159,9 @@
 		return fmt.Errorf("start %s: %w", name, err)
 	}
 	p := &process{command: command, ended: make(chan struct{})}
+	s.mu.Lock()
 	s.processes[name] = p
+	s.mu.Unlock()
 	go func() {
 		_ = command.Wait()
 		close(p.ended)
@@ -165,11 +173,20 @@
 // signal sends a signal to a process.
 func (s *system) signal(name string, signal syscall.Signal) {
 	s.record.say("platform: %v to %s", signal, name)
-	_ = s.processes[name].command.Process.Signal(signal)
+	_ = s.process(name).command.Process.Signal(signal)
+}
+
+// process returns the last process of a name.
+func (s *system) process(name string) *process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.processes[name]
 }
 
 // close ends all processes and removes the folder, unless KEEP is set.
 func (s *system) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, p := range s.processes {
 		_ = p.command.Process.Signal(syscall.SIGCONT)
 		_ = p.command.Process.Kill()
