--- a/review/rig2/executor.go
+++ b/review/rig2/executor.go
@@ -57,6 +57,9 @@
 	history           *history
 	// path is the proxy between the system and this executor; nil if there is none.
 	path *proxy
+	// intercept takes a start that is to be left unanswered, and reports whether it did.
+	// It may be nil.
+	intercept func(e *executor, o order) bool
 
 	mu       sync.Mutex
 	life     *executorLife
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -30,7 +30,7 @@
 type script func(s *system, trouble bool) ([]string, error)
 
 var scripts = map[string]script{
-	"ends": runEnds, "writer": runWriter, "flap": runFlap, "stale": runStale, "changes": runChanges,
+	"ends": runEnds, "writer": runWriter, "flap": runFlap, "stale": runStale, "changes": runChanges, "late": runLate,
 }
 
 func main() { os.Exit(run()) }
--- a/review/rig2/orders.go
+++ b/review/rig2/orders.go
@@ -56,7 +56,11 @@
 	return http.StatusConflict, map[string]any{"reason": reason}
 }
 
-func (e *executor) handleStart(life *executorLife, _ *http.Request, o order) (int, map[string]any) {
+func (e *executor) handleStart(life *executorLife, r *http.Request, o order) (int, map[string]any) {
+	if e.intercept != nil && e.intercept(e, o) {
+		<-r.Context().Done()
+		return http.StatusServiceUnavailable, map[string]any{}
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	status, answer := e.startRun(life, o)
--- a/review/rig2/proxy.go
+++ b/review/rig2/proxy.go
@@ -70,7 +70,12 @@
 }
 
 func (p *proxy) carry(client net.Conn) {
-	p.pass()
+	if p.isCut() {
+		// No connection can be opened through a cut. Nothing of this one arrives.
+		p.pass()
+		reset(client)
+		return
+	}
 	server, err := net.DialTimeout("tcp", p.target(), time.Second)
 	if err != nil {
 		reset(client)
