--- a/review/rig2/memory.go
+++ b/review/rig2/memory.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"strings"
@@ -90,7 +91,7 @@
 	_ = p.command.Process.Signal(syscall.SIGKILL)
 	<-p.ended
 	time.AfterFunc(restartDelay, func() {
-		if err := w.system.startCore(i, false); err != nil {
+		if err := w.system.startCore(i, false); err != nil && !errors.Is(err, errClosed) {
 			w.system.record.say("%v", err)
 		}
 	})
--- a/review/rig2/system.go
+++ b/review/rig2/system.go
@@ -36,9 +36,10 @@
 	internalPort, controlPort, callPort, okPort, metricsPort int
 	// machines holds the address of the machine manager for each core; it may be empty.
 	machines map[string]string
-	// mu guards processes.
+	// mu guards processes and closed.
 	mu        sync.Mutex
 	processes map[string]*process
+	closed    bool
 	// memory is what a core may use, in MiB.
 	memory int
 }
@@ -138,6 +139,9 @@
 	return s.run(coreName(i), s.settings(coreName(i), "coordination", fmt.Sprintf("z%d", i+1), coreHost(i), listen, bootstrap))
 }
 
+// errClosed reports a start after the end of the script.
+var errClosed = errors.New("the script has ended")
+
 // run starts the command of the deploy file with settings.
 func (s *system) run(name string, settings map[string]any) error {
 	data, err := json.MarshalIndent(settings, "", "  ")
@@ -153,15 +157,18 @@
 		return fmt.Errorf("open log: %w", err)
 	}
 	defer output.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return errClosed
+	}
 	command := exec.Command(s.program, "node", "--settings", path)
 	command.Stdout, command.Stderr = output, output
 	if err := command.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", name, err)
 	}
 	p := &process{command: command, ended: make(chan struct{})}
-	s.mu.Lock()
 	s.processes[name] = p
-	s.mu.Unlock()
 	go func() {
 		_ = command.Wait()
 		close(p.ended)
@@ -187,6 +194,7 @@
 func (s *system) close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.closed = true
 	for _, p := range s.processes {
 		_ = p.command.Process.Signal(syscall.SIGCONT)
 		_ = p.command.Process.Kill()
