platform, coordinator: tell whether a worker's list of ends is truncated

The log could not tell whether the leader had taken a truncated list of ends for a complete one; only the stand-in's record did.

PollResult.EndsTruncated says that a worker may have more ends than it has listed. The event ends-truncated counts the placed runs that such a list leaves open.

No decision has changed.

--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -213,6 +213,9 @@
 	c.pace(lead, worker)
 	ends := c.unrecordedEnds(lead, worker, poll, now)
 	lost := c.state.LostRuns(worker, lead.attempts, poll, lead.fencingToken)
+	if poll.EndsTruncated {
+		c.event("ends-truncated", "worker", id, "listed", len(poll.Ended), "alive", len(poll.Running), "placed", len(c.state.RunsOn(id)), "missing", len(lost))
+	}
 	var commands []scheduler.Command
 	if ends != nil {
 		for i := range ends.Ends {
--- a/scheduler/tracker.go
+++ b/scheduler/tracker.go
@@ -41,6 +41,9 @@
 	Clock   WorkerMilli
 	Running []LiveRun
 	Ended   []End
+	// EndsTruncated says that Ended may lack the latest ends, because the worker lists a
+	// limited number at a time. It lists the others once these are acknowledged.
+	EndsTruncated bool
 }
 
 // LiveRun is a run that is alive on a worker. Checkpoint, Percent and Measurement
