coordinator: keep runs placed while their worker may have more ends to list

Failed runs started again beyond max-attempts, and gangs and copies that were done started again.

Cause: a run that a poll result does not mention counted as lost once it could not be alive any more. A worker lists a limited number of ends at a time; the end of the run may be among the others. The lost runs were dropped in the same entry as the first ends, and their tasks placed again before the next list arrived.

Change: MissingRuns tells lost runs from unlisted ones by PollResult.EndsTruncated. Unlisted runs stay placed until their ends are listed or a complete list lacks them. A poll after a truncated list is not held by the worker.

TestDropOfUnstartedRunIsRepeated uses the new name and is otherwise unchanged.

Ruled out: ended leases, a restarted worker, another leader, forgotten ends, refusals; see docs/incidents/truncated-ends.md.

--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -142,11 +142,11 @@
 const leaseMargin = 200 * time.Millisecond
 
 // pollWait returns how long a worker may hold a poll until a run ends: not at all
-// after a missed poll, and only briefly while a run may be starting, stopping or
+// after a missed poll or while it may have ends to list, and only briefly while a run may be starting, stopping or
 // stalled, a long-running task starts up, or best-effort tasks share the worker with
 // serving tasks. The caller holds mu.
 func (c *Coordinator) pollWait(observation *scheduler.WorkerObservation, id identifier.WorkerID) time.Duration {
-	if observation.MissedPolls > 0 {
+	if observation.MissedPolls > 0 || observation.EndsTruncated {
 		return 0
 	}
 	mayBeStalled := false
@@ -212,9 +212,10 @@
 	c.recordRunning(lead, worker, observation, poll, now)
 	c.pace(lead, worker)
 	ends := c.unrecordedEnds(lead, worker, poll, now)
-	lost := c.state.LostRuns(worker, lead.attempts, poll, lead.fencingToken)
+	lost, unlisted := c.state.MissingRuns(worker, lead.attempts, poll, lead.fencingToken)
+	observation.EndsTruncated = poll.EndsTruncated
 	if poll.EndsTruncated {
-		c.event("ends-truncated", "worker", id, "listed", len(poll.Ended), "alive", len(poll.Running), "placed", len(c.state.RunsOn(id)), "missing", len(lost))
+		c.event("ends-truncated", "worker", id, "listed", len(poll.Ended), "alive", len(poll.Running), "placed", len(c.state.RunsOn(id)), "unlisted", len(unlisted))
 	}
 	var commands []scheduler.Command
 	if ends != nil {
--- a/coordinator/repeated_drop_test.go
+++ b/coordinator/repeated_drop_test.go
@@ -46,7 +46,7 @@
 	observation.RecordContact(1000, now)
 	c.recoverRuns(c.lead, worker, observation, now)
 	poll := scheduler.PollResult{Sent: now.Add(time.Minute), Incarnation: run.Incarnation, Clock: 100_000}
-	lost := c.state.LostRuns(worker, c.lead.attempts, &poll, c.lead.fencingToken)
+	lost, _ := c.state.MissingRuns(worker, c.lead.attempts, &poll, c.lead.fencingToken)
 	if len(c.queue) == 0 && len(lost) == 0 {
 		t.Errorf("%s is neither dropped again nor lost", id)
 	}
--- a/faker/tasks.go
+++ b/faker/tasks.go
@@ -63,6 +63,9 @@
 	GangWait time.Duration
 	// MaxLease is the longest lease that a worker accepts.
 	MaxLease time.Duration
+	// MaxListedEnds is the number of ends that a worker lists at most in a poll result; 0
+	// means no limit.
+	MaxListedEnds int
 	// CapacityGrace is how long after a worker's capacity has shrunk the former one
 	// still counts in ExceededCapacity.
 	CapacityGrace time.Duration
--- a/faker/taskworker.go
+++ b/faker/taskworker.go
@@ -475,7 +475,15 @@
 }
 
 func (t *TaskWorker) pollResult() scheduler.PollResult {
-	result := scheduler.PollResult{Incarnation: t.Incarnation, Clock: t.clock(), Ended: append([]scheduler.End(nil), t.unacked...)}
+	listed := len(t.unacked)
+	limit := t.cluster.MaxListedEnds
+	if limit > 0 {
+		listed = min(listed, limit)
+	}
+	result := scheduler.PollResult{
+		Incarnation: t.Incarnation, Clock: t.clock(), Ended: append([]scheduler.End(nil), t.unacked[:listed]...),
+		EndsTruncated: limit > 0 && listed == limit,
+	}
 	for id, run := range t.running {
 		step := t.cluster.steps[id.Task.StepID()]
 		result.Running = append(result.Running, scheduler.LiveRun{Run: id, Percent: t.percent(run, step)})
--- a/scheduler/observer.go
+++ b/scheduler/observer.go
@@ -49,6 +49,9 @@
 	// when the first of them failed.
 	MissedPolls int
 	MissedSince time.Time
+	// EndsTruncated says that the worker may have more ends than its last poll result
+	// listed.
+	EndsTruncated bool
 	// AckConfirmed is the number of the last end whose acknowledgement the
 	// worker has confirmed.
 	AckConfirmed int64
--- a/scheduler/tracker.go
+++ b/scheduler/tracker.go
@@ -71,7 +71,8 @@
 }
 
 // CertainlyLost reports whether a run that a poll result does not mention can
-// never be alive again. token is the fencing token with which the leader
+// never be alive again. Its end may still be listed later if the result's ends are
+// truncated. token is the fencing token with which the leader
 // polled. attempt is nil if this leader has ordered neither a start nor a stop,
 // and no worker has reported the run to it.
 //
@@ -130,15 +131,21 @@
 	return attempt != nil && !attempt.SentAt.IsZero() && now.Sub(attempt.SentAt) <= certainlyEndsWithin(o.MaxLease)
 }
 
-// LostRuns returns the placed runs of a worker that are certainly lost.
-func (s *State) LostRuns(worker *Worker, attempts map[RunID]*StartAttempt, poll *PollResult, token FencingToken) []RunID {
-	var lost []RunID
+// MissingRuns returns the placed runs of a worker that a poll result does not mention and
+// that can never be alive again. They are lost if the result lists all ends. If its ends
+// are truncated, they are unlisted: they may be done or have failed, as a later result
+// may show.
+func (s *State) MissingRuns(worker *Worker, attempts map[RunID]*StartAttempt, poll *PollResult, token FencingToken) (lost, unlisted []RunID) {
+	var missing []RunID
 	for id, run := range s.placed[worker.ID] {
 		if !poll.mentions(id) && CertainlyLost(run, attempts[id], poll, token) {
-			lost = append(lost, id)
+			missing = append(missing, id)
 		}
 	}
-	return lost
+	if poll.EndsTruncated {
+		return nil, missing
+	}
+	return missing, nil
 }
 
 // SortRuns sorts run ids by job, task and run number.
