scheduler: do not suspect a run whose end is not listed yet

What callers could see: a job shown as failed for crashes of its workers, though its runs had ended before. Since runs whose ends are not listed yet stay placed, a worker that crashes between two truncated lists makes them runs that ended with it, and those that it had just started likely causes.

Cause: the suspicion of a crash takes all placed runs of the worker for alive. The last poll result showed that some were not.

Change: the observation of a worker holds the runs that its last poll result showed not to be alive without listing their ends; no crash is blamed on them. Their tasks are placed again, as before, since a crashed worker lists no ends any more.

--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -213,7 +213,7 @@
 	c.pace(lead, worker)
 	ends := c.unrecordedEnds(lead, worker, poll, now)
 	lost, unlisted := c.state.MissingRuns(worker, lead.attempts, poll, lead.fencingToken)
-	observation.EndsTruncated = poll.EndsTruncated
+	observation.RecordUnlistedEnds(poll.EndsTruncated, unlisted)
 	if poll.EndsTruncated {
 		c.event("ends-truncated", "worker", id, "listed", len(poll.Ended), "alive", len(poll.Running), "placed", len(c.state.RunsOn(id)), "unlisted", len(unlisted))
 	}
--- a/coordinator/expired_drop_test.go
+++ b/coordinator/expired_drop_test.go
@@ -34,13 +34,7 @@
 	t.Helper()
 	time.Sleep(time.Hour)
 	c, id, _ := newLeaderWithPlacedRun(t, false)
-	machine := replicator.StateMachine{
-		Apply: func(uint64, []byte) any { return nil }, Snapshot: func() ([]byte, error) { return nil, nil }, Restore: func([]byte) error { return nil },
-	}
-	node, err := replicator.Open("i0", t.TempDir(), []replicator.Peer{{ID: "i0"}}, machine, replicator.Transport{})
-	if err != nil {
-		t.Fatal(err)
-	}
+	node := openSingleNode(t)
 	defer node.Stop()
 	ctx, cancel := context.WithCancel(t.Context())
 	defer synctest.Wait()
--- a/coordinator/unsent_test.go
+++ b/coordinator/unsent_test.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 
 	"cranberrystack.dev/cranberrystack/recorder"
+	"cranberrystack.dev/cranberrystack/replicator"
 	"cranberrystack.dev/cranberrystack/scheduler"
 )
 
@@ -52,6 +53,19 @@
 	return c, run.ID, &logged
 }
 
+// openSingleNode opens a log whose only member is this instance. Its entries have no effect.
+func openSingleNode(t *testing.T) *replicator.Node {
+	t.Helper()
+	machine := replicator.StateMachine{
+		Apply: func(uint64, []byte) any { return nil }, Snapshot: func() ([]byte, error) { return nil, nil }, Restore: func([]byte) error { return nil },
+	}
+	node, err := replicator.Open("i0", t.TempDir(), []replicator.Peer{{ID: "i0"}}, machine, replicator.Transport{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return node
+}
+
 // One log entry holds both the assignment of a run and the registration of its
 // worker's next incarnation, so that no start is sent. The run must be dropped,
 // or it would stay placed for ever.
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -200,6 +200,10 @@
 			observation = &WorkerObservation{}
 		}
 		for _, run := range s.runsOfIncarnation(worker) {
+			if observation.unlistedEnds[run.ID] {
+				// It had ended before the crash.
+				continue
+			}
 			switch observation.ageAtCrash(attempts[run.ID]) {
 			case ageYoung:
 				suspicion.Likely = append(suspicion.Likely, run.ID)
--- a/scheduler/observer.go
+++ b/scheduler/observer.go
@@ -52,6 +52,9 @@
 	// EndsTruncated says that the worker may have more ends than its last poll result
 	// listed.
 	EndsTruncated bool
+	// unlistedEnds holds the runs that the last poll result showed not to be alive without
+	// listing their ends.
+	unlistedEnds map[RunID]bool
 	// AckConfirmed is the number of the last end whose acknowledgement the
 	// worker has confirmed.
 	AckConfirmed int64
@@ -201,6 +204,16 @@
 	w.updatePossibleStall(running.Run, progress)
 }
 
+// RecordUnlistedEnds records whether a poll result may lack ends, and the placed runs that
+// are not alive any more and whose ends it lacks.
+func (w *WorkerObservation) RecordUnlistedEnds(truncated bool, unlisted []RunID) {
+	w.EndsTruncated = truncated
+	w.unlistedEnds = make(map[RunID]bool, len(unlisted))
+	for _, id := range unlisted {
+		w.unlistedEnds[id] = true
+	}
+}
+
 // LastCheckpoint returns the last known checkpoint of a run, or "" if there is
 // none. The receiver may be nil.
 func (w *WorkerObservation) LastCheckpoint(id RunID) string {
