scheduler: do not count a run as available once it has ended unlisted

What callers could see: an upkeep, a move or an urgent job stops a task at work while as many others of its step as may be missing are away already (AVAIL): one of those had ended, and its end was not listed yet.

Cause: availability follows from the progress that was reported last. A run whose end is not listed yet stays placed, and reports no progress that would lower it.

Change: a run that the last poll result showed not to be alive is not available.

Evidence: TestRunWithUnlistedEndIsNotAvailable failed without the check: upkeep stopped the second of four tasks, of which one may be missing.

--- a/scheduler/upkeep.go
+++ b/scheduler/upkeep.go
@@ -199,8 +199,8 @@
 // fullPercent is the progress of a long-running task that works fully.
 const fullPercent = 100
 
-// fullyAvailable reports whether a run is not being stopped and has reported
-// 100 percent progress.
+// fullyAvailable reports whether a run is not being stopped, has reported 100 percent
+// progress and is not known to have ended since.
 func (s *State) fullyAvailable(o *Observer, id RunID) bool {
 	run := s.runs[id]
 	if run == nil || o.Stopping(run) {
@@ -211,5 +211,5 @@
 		return false
 	}
 	progress, seen := observation.Progress[id]
-	return seen && progress.Percent >= fullPercent
+	return seen && progress.Percent >= fullPercent && !observation.unlistedEnds[id]
 }
--- a/scheduler/upkeep_test.go
+++ b/scheduler/upkeep_test.go
@@ -28,6 +28,26 @@
 	}
 }
 
+// Guards against an upkeep that stops an available task though another task of its step has
+// ended: the end is not listed yet, and the run still counts as available.
+func TestRunWithUnlistedEndIsNotAvailable(t *testing.T) {
+	p := newPool(t, 2)
+	step := tasks(4, 4)
+	step.LongRunning, step.MaxUnavailable = true, 1
+	p.submit(1, "long", step)
+	p.plan()
+	p.reportAllAvailable(step.Width)
+	for id := range p.state.RunsOn("w01") {
+		p.observer.Observation("w01").RecordUnlistedEnds(true, []RunID{id})
+		break
+	}
+	inventory := MachineInventory{Worker: map[MachineID]identifier.WorkerID{"m0": "w00"}, Known: map[MachineID]bool{"m0": true}}
+	p.apply(Command{Wave: &Wave{ID: 1, Cap: 1, DurationSeconds: 60, Machines: []MachineUpkeep{{Machine: "m0"}}}})
+	if stops := NextUpkeep(p.state, p.observer, p.state.Wave(1), inventory, p.now, p.wall()).Stop; len(stops) > 0 {
+		t.Errorf("upkeep stops %v, though a task of its step has ended", stops)
+	}
+}
+
 // Guards against runs that start on a machine while its upkeep has been ordered and the
 // machine manager has not answered: the upkeep ends them.
 func TestOrderedUpkeepKeepsNewRunsAway(t *testing.T) {
