leaser: list closed leases until their owner has accepted a report of them

Callers could see a finished job of engine placer run a second time, if it ended while no instance owned the placement of its data centre for over two minutes.

Cause: as in docs/incidents/truncated-ends.md, a conclusion from absence in a list that is cut short, here by age. The owner takes a lease that a full report lacks for lost; a worker removed closed leases two minutes after their end, also if no owner had accepted a report of them, or only one that was lost before it had persisted that.

A higher epoch voids what was accepted before. MarkReported takes the present time.

--- a/faker/worker.go
+++ b/faker/worker.go
@@ -175,7 +175,7 @@
 		return false
 	}
 	w.table.Renew(sent.Add(response.TTL))
-	w.table.MarkReported(message.Leases)
+	w.table.MarkReported(message.Leases, time.Now())
 	return !w.fullReportWanted
 }
 
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -58,8 +58,10 @@
 	Reason string `json:"reason,omitempty"`
 	// expiresAt is when the task has to stop unless the lease is renewed.
 	expiresAt time.Time
-	// reportedState is the last state that the owner has accepted in a report.
+	// reportedState is the last state that the present owner has accepted in a report,
+	// and reportedAt is when it did; empty and zero if it has accepted none.
 	reportedState State
+	reportedAt    time.Time
 	// closedAt is when the lease ceased to hold accelerators.
 	closedAt time.Time
 }
@@ -73,8 +75,14 @@
 	leases   map[ID]*Lease
 }
 
-// closedRetention is how long a closed lease stays in the table and in reports.
-const closedRetention = 2 * time.Minute
+const (
+	// closedRetention is how long a closed lease stays in the table and in reports after
+	// the owner has accepted a report of it. The owner may be lost before it has persisted
+	// that, and the next one takes a lease that is missing from a full report for lost.
+	closedRetention = 2 * time.Minute
+	// maxClosedRetention is how long a closed lease stays there at most.
+	maxClosedRetention = 24 * time.Hour
+)
 
 // NewTable returns an empty table for a worker with the given number of
 // accelerators.
@@ -83,11 +91,16 @@
 }
 
 // AcceptEpoch records the owner's epoch, or returns ErrStaleEpoch if a higher epoch
-// has been accepted.
+// has been accepted. A new owner has accepted no reports yet.
 func (t *Table) AcceptEpoch(epoch identifier.Epoch) error {
 	if epoch < t.epoch {
 		return ErrStaleEpoch
 	}
+	if epoch > t.epoch {
+		for _, lease := range t.leases {
+			lease.reportedState, lease.reportedAt = "", time.Time{}
+		}
+	}
 	t.epoch = epoch
 	return nil
 }
@@ -185,21 +198,29 @@
 	return unreported
 }
 
-// MarkReported records that the owner has accepted a report of these leases.
-func (t *Table) MarkReported(leases []Lease) {
+// MarkReported records that the owner has accepted a report of these leases. It removes
+// closed leases that the same owner accepted at least closedRetention ago.
+func (t *Table) MarkReported(leases []Lease, now time.Time) {
 	for i := range leases {
-		if lease, known := t.leases[leases[i].ID]; known {
-			lease.reportedState = leases[i].State
+		lease, known := t.leases[leases[i].ID]
+		if known && lease.reportedState != leases[i].State {
+			lease.reportedState, lease.reportedAt = leases[i].State, now
+		}
+	}
+	for id, lease := range t.leases {
+		accepted := !lease.State.HoldsAccelerators() && lease.reportedState == lease.State
+		if accepted && now.Sub(lease.reportedAt) >= closedRetention {
+			delete(t.leases, id)
 		}
 	}
 }
 
 // All returns the leases sorted by job and attempt. It removes those that were
-// closed at least closedRetention ago.
+// closed at least maxClosedRetention ago.
 func (t *Table) All(now time.Time) []Lease {
 	all := make([]Lease, 0, len(t.leases))
 	for id, lease := range t.leases {
-		if !lease.State.HoldsAccelerators() && now.Sub(lease.closedAt) >= closedRetention {
+		if !lease.State.HoldsAccelerators() && now.Sub(lease.closedAt) >= maxClosedRetention {
 			delete(t.leases, id)
 			continue
 		}
--- a/placer/scenario_test.go
+++ b/placer/scenario_test.go
@@ -198,6 +198,59 @@
 	}
 }
 
+// Guards against a job that runs again after its end, which no owner has persisted: the
+// workers had forgotten the end when the next owner received their full reports.
+func TestJobThatEndsWithoutOwnerRunsOnce(t *testing.T) {
+	tests := []struct {
+		name string
+		// accepted says that the owner accepted the reports of the end before it was lost.
+		accepted     bool
+		withoutOwner time.Duration
+	}{
+		{"a minute", false, time.Minute},
+		{"three minutes", false, 3 * time.Minute},
+		{"an hour", false, time.Hour},
+		{"three minutes, accepted before", true, 3 * time.Minute},
+	}
+	for _, test := range tests {
+		s := newFaultlessSimulation(t)
+		s.mustSubmit(newSimJob("ended", "zebra", pairShape, 5*time.Second))
+		s.runUntil("ended", StateRunning, 10*time.Second)
+		running := s.persisted["ended"]
+		if test.accepted {
+			s.runUntil("ended", StateFinished, 10*time.Second)
+			s.persisted["ended"] = running
+		}
+		s.runWithoutOwner(test.withoutOwner)
+		s.replaceOwner()
+		s.runUntil("ended", StateFinished, time.Minute)
+		if starts := s.startsOf("ended"); starts != pairShape.Parts {
+			t.Errorf("%s without an owner: %d starts of %d parts", test.name, starts, pairShape.Parts)
+		}
+		s.runFor(3 * time.Minute)
+		for _, m := range s.machines {
+			if leases := m.table.All(s.now); len(leases) > 0 {
+				t.Errorf("%s without an owner: %s still lists %v", test.name, m.info.ID, leases)
+			}
+		}
+	}
+}
+
+// runWithoutOwner runs the machines while there is no owner.
+func (s *simulation) runWithoutOwner(length time.Duration) {
+	for _, m := range s.machines {
+		m.partitioned = true
+	}
+	for end := s.now.Add(length); s.now.Before(end); s.now = s.now.Add(simStep) {
+		for _, m := range s.machines {
+			s.runTasks(m)
+		}
+	}
+	for _, m := range s.machines {
+		m.partitioned = false
+	}
+}
+
 func TestWorkersIgnoreReplacedOwner(t *testing.T) {
 	s := newFaultlessSimulation(t)
 	s.mustSubmit(newSimJob("gang", "zebra", pairShape, 20*time.Second))
--- a/placer/simulation_test.go
+++ b/placer/simulation_test.go
@@ -306,7 +306,7 @@
 	m.partial = err == nil && s.epoch <= m.table.Epoch()
 	if current && m.table.AcceptEpoch(s.epoch) == nil {
 		m.table.Renew(s.now.Add(s.engine.LeaseTTL()))
-		m.table.MarkReported(report.Leases)
+		m.table.MarkReported(report.Leases, s.now)
 	}
 	s.flush()
 }
