coordinator: truncated lists of ends in the seeded schedules

Workers of two seeds in three list one or two ends at a time, in TestSchedules and TestOverloadedInstances; the sequence of a seed is otherwise the same.

--- a/coordinator/overload_test.go
+++ b/coordinator/overload_test.go
@@ -149,7 +149,10 @@
 	for i := range *seedCount {
 		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			setup := func(c *cluster) { c.load = newLoad(seed) }
+			setup := func(c *cluster) {
+				c.load = newLoad(seed)
+				limitListedEnds(c, seed)
+			}
 			inClusterWith(t, seed, 4, 4, setup, func(c *cluster) {
 				o := &overload{c: c, random: rand.New(rand.NewPCG(seed, 4)), accepted: map[identifier.JobID]string{}}
 				o.run()
--- a/coordinator/schedules_test.go
+++ b/coordinator/schedules_test.go
@@ -33,13 +33,14 @@
 }
 
 // Under seeded sequences of crashes, partitions, lost disks, late and lost orders,
-// restarted and stalled workers, speculative copies, cancels and catalog changes,
-// accepted jobs must complete, each task once, and refused jobs must never run.
+// restarted and stalled workers, truncated lists of ends, speculative copies, cancels
+// and catalog changes, accepted jobs must complete, each task once, and refused jobs
+// must never run.
 func TestSchedules(t *testing.T) {
 	for i := range *seedCount {
 		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			inCluster(t, seed, 4, 8, func(c *cluster) {
+			inClusterWith(t, seed, 4, 8, func(c *cluster) { limitListedEnds(c, seed) }, func(c *cluster) {
 				s := newSchedule(c, seed)
 				s.run()
 				s.check()
@@ -48,6 +49,9 @@
 	}
 }
 
+// limitListedEnds makes the workers of two seeds in three list one or two ends at a time.
+func limitListedEnds(c *cluster, seed uint64) { c.workerCluster.MaxListedEnds = int(seed % 3) }
+
 func newSchedule(c *cluster, seed uint64) *schedule {
 	s := &schedule{
 		c: c, random: rand.New(rand.NewPCG(seed, 1)), extraRandom: rand.New(rand.NewPCG(seed, 2)), version: 1,
