--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -142,9 +142,9 @@
 const leaseMargin = 200 * time.Millisecond
 
 // pollWait returns how long a worker may hold a poll until a run ends: not at all
-// after a missed poll or while it may have ends to list, and only briefly while a run may be starting, stopping or
-// stalled, a long-running task starts up, or best-effort tasks share the worker with
-// serving tasks. The caller holds mu.
+// after a missed poll or while it may have more ends to list, and only briefly while a
+// run may be starting, stopping or stalled, a long-running task starts up, or
+// best-effort tasks share the worker with serving tasks. The caller holds mu.
 func (c *Coordinator) pollWait(observation *scheduler.WorkerObservation, id identifier.WorkerID) time.Duration {
 	if observation.MissedPolls > 0 || observation.EndsTruncated {
 		return 0
@@ -212,11 +212,7 @@
 	c.recordRunning(lead, worker, observation, poll, now)
 	c.pace(lead, worker)
 	ends := c.unrecordedEnds(lead, worker, poll, now)
-	lost, unlisted := c.state.MissingRuns(worker, lead.attempts, poll, lead.fencingToken)
-	observation.RecordUnlistedEnds(poll.EndsTruncated, unlisted)
-	if poll.EndsTruncated {
-		c.event("ends-truncated", "worker", id, "listed", len(poll.Ended), "alive", len(poll.Running), "placed", len(c.state.RunsOn(id)), "unlisted", len(unlisted))
-	}
+	lost := c.recordMissing(lead, worker, observation, poll)
 	var commands []scheduler.Command
 	if ends != nil {
 		for i := range ends.Ends {
@@ -303,6 +299,18 @@
 	return ends
 }
 
+// recordMissing returns the runs that a poll result shows to be lost, and records those
+// whose ends the worker may still list. The caller holds mu.
+func (c *Coordinator) recordMissing(lead *leadership, worker *scheduler.Worker, observation *scheduler.WorkerObservation, poll *scheduler.PollResult) []scheduler.RunID {
+	lost, unlisted := c.state.MissingRuns(worker, lead.attempts, poll, lead.fencingToken)
+	observation.RecordUnlistedEnds(poll.EndsTruncated, unlisted)
+	if poll.EndsTruncated {
+		c.event("ends-truncated", "worker", worker.ID, "listed", len(poll.Ended), "alive", len(poll.Running),
+			"placed", len(c.state.RunsOn(worker.ID)), "unlisted", len(unlisted))
+	}
+	return lost
+}
+
 // logLostRuns logs the runs that are dropped without an end reported by their
 // worker. The caller holds mu.
 func (c *Coordinator) logLostRuns(runs []scheduler.RunID, worker identifier.WorkerID, reason string, lead *leadership) {
--- a/scheduler/observer.go
+++ b/scheduler/observer.go
@@ -207,8 +207,10 @@
 // RecordUnlistedEnds records whether a poll result may lack ends, and the placed runs that
 // are not alive any more and whose ends it lacks.
 func (w *WorkerObservation) RecordUnlistedEnds(truncated bool, unlisted []RunID) {
-	w.EndsTruncated = truncated
-	w.unlistedEnds = make(map[RunID]bool, len(unlisted))
+	w.EndsTruncated, w.unlistedEnds = truncated, nil
+	if len(unlisted) > 0 {
+		w.unlistedEnds = make(map[RunID]bool, len(unlisted))
+	}
 	for _, id := range unlisted {
 		w.unlistedEnds[id] = true
 	}
--- a/scheduler/tracker.go
+++ b/scheduler/tracker.go
@@ -72,9 +72,9 @@
 
 // CertainlyLost reports whether a run that a poll result does not mention can
 // never be alive again. Its end may still be listed later if the result's ends are
-// truncated. token is the fencing token with which the leader
-// polled. attempt is nil if this leader has ordered neither a start nor a stop,
-// and no worker has reported the run to it.
+// truncated. token is the fencing token with which the leader polled. attempt is nil if
+// this leader has ordered neither a start nor a stop, and no worker has reported the run
+// to it.
 //
 // A run that was assigned under a lower token is lost if this leader has no
 // start of it in flight or unanswered: the worker has seen the new token with
