--- a/coordinator/unsent_test.go
+++ b/coordinator/unsent_test.go
@@ -114,11 +114,11 @@
 	c.recoverRuns(c.lead, worker, observation, now)
 	run := c.state.Run(id)
 	poll := scheduler.PollResult{Sent: now.Add(time.Second), Incarnation: run.Incarnation, Clock: 1000 + scheduler.WorkerMilli(c.options.startLease.Milliseconds())}
-	if scheduler.CertainlyLost(run, c.lead.attempts[id], &poll, c.lead.fencingToken) {
+	if scheduler.CertainlyOver(run, c.lead.attempts[id], &poll, c.lead.fencingToken) {
 		t.Error("run counts as lost, though its start may still be carried out")
 	}
 	poll.Clock += 10
-	if !scheduler.CertainlyLost(run, c.lead.attempts[id], &poll, c.lead.fencingToken) {
+	if !scheduler.CertainlyOver(run, c.lead.attempts[id], &poll, c.lead.fencingToken) {
 		t.Error("run does not count as lost, though no start can be carried out any more")
 	}
 }
--- a/scheduler/next_incarnation_test.go
+++ b/scheduler/next_incarnation_test.go
@@ -19,7 +19,7 @@
 		{"stop was confirmed by the earlier incarnation, a start is unanswered", StartAttempt{Deadline: 60_000, Unanswered: true, Stopped: sent.Add(-time.Second)}},
 	}
 	for _, test := range tests {
-		if CertainlyLost(run, &test.attempt, poll, 3) {
+		if CertainlyOver(run, &test.attempt, poll, 3) {
 			t.Errorf("%s: the run counts as lost", test.name)
 		}
 	}
--- a/scheduler/state_test.go
+++ b/scheduler/state_test.go
@@ -317,7 +317,7 @@
 	}
 }
 
-func TestCertainlyLost(t *testing.T) {
+func TestCertainlyOver(t *testing.T) {
 	at := time.Unix(1000, 0)
 	later := at.Add(time.Second)
 	tests := []struct {
@@ -342,8 +342,8 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			if got := CertainlyLost(&test.run, test.attempt, &test.poll, 2); got != test.want {
-				t.Errorf("certainly lost: %t, want %t", got, test.want)
+			if got := CertainlyOver(&test.run, test.attempt, &test.poll, 2); got != test.want {
+				t.Errorf("certainly over: %t, want %t", got, test.want)
 			}
 		})
 	}
--- a/scheduler/tracker.go
+++ b/scheduler/tracker.go
@@ -70,17 +70,16 @@
 	return false
 }
 
-// CertainlyLost reports whether a run that a poll result does not mention can
-// never be alive again. Its end may still be listed later if the result's ends are
-// truncated. token is the fencing token with which the leader polled. attempt is nil if
-// this leader has ordered neither a start nor a stop, and no worker has reported the run
-// to it.
+// CertainlyOver reports whether a run that a poll result does not mention can
+// never be alive again. token is the fencing token with which the leader polled.
+// attempt is nil if this leader has ordered neither a start nor a stop, and no worker
+// has reported the run to it.
 //
-// A run that was assigned under a lower token is lost if this leader has no
+// A run that was assigned under a lower token is over if this leader has no
 // start of it in flight or unanswered: the worker has seen the new token with
 // the poll and refuses starts of earlier leaders.
 //
-// In all other cases, the run is lost only if attempt is not nil, no start is in
+// In all other cases, the run is over only if attempt is not nil, no start is in
 // flight and one of these holds:
 //   - The worker confirmed a stop of the run, or refused to start it, before
 //     the poll was sent.
@@ -90,7 +89,7 @@
 //     and the worker's clock is past the start's deadline.
 //   - No start is unanswered, and the worker confirmed the start before the
 //     poll was sent, so that the run has ended since.
-func CertainlyLost(run *Run, attempt *StartAttempt, poll *PollResult, token FencingToken) bool {
+func CertainlyOver(run *Run, attempt *StartAttempt, poll *PollResult, token FencingToken) bool {
 	if run.FencingToken < token && (attempt == nil || !attempt.Unanswered && attempt.CallsInFlight == 0) {
 		return true
 	}
@@ -132,13 +131,12 @@
 }
 
 // MissingRuns returns the placed runs of a worker that a poll result does not mention and
-// that can never be alive again. They are lost if the result lists all ends. If its ends
-// are truncated, they are unlisted: they may be done or have failed, as a later result
-// may show.
+// that are certainly over. They are lost if the result lists all ends. If its ends are
+// truncated, they are unlisted: a later result may show that they are done or have failed.
 func (s *State) MissingRuns(worker *Worker, attempts map[RunID]*StartAttempt, poll *PollResult, token FencingToken) (lost, unlisted []RunID) {
 	var missing []RunID
 	for id, run := range s.placed[worker.ID] {
-		if !poll.mentions(id) && CertainlyLost(run, attempts[id], poll, token) {
+		if !poll.mentions(id) && CertainlyOver(run, attempts[id], poll, token) {
 			missing = append(missing, id)
 		}
 	}
