--- a/scheduler/upkeep_test.go
+++ b/scheduler/upkeep_test.go
@@ -8,15 +8,22 @@
 	"cranberrystack.dev/cranberrystack/identifier"
 )
 
-// A wave of upkeep takes both workers of a pool, each of which holds two
-// long-running tasks of one step.
-func TestUpkeepStopsNoMoreThanMaxUnavailable(t *testing.T) {
+// newAvailablePool returns two workers, each of which holds two available tasks of one
+// long-running step of which one may be unavailable.
+func newAvailablePool(t *testing.T) (*testPool, Step) {
+	t.Helper()
 	p := newPool(t, 2)
 	step := tasks(4, 4)
 	step.LongRunning, step.MaxUnavailable = true, 1
 	p.submit(1, "long", step)
 	p.plan()
 	p.reportAllAvailable(step.Width)
+	return p, step
+}
+
+// A wave of upkeep takes both workers of the pool.
+func TestUpkeepStopsNoMoreThanMaxUnavailable(t *testing.T) {
+	p, step := newAvailablePool(t)
 	inventory := MachineInventory{
 		Worker: map[MachineID]identifier.WorkerID{"m0": "w00", "m1": "w01"},
 		Known:  map[MachineID]bool{"m0": true, "m1": true},
@@ -31,12 +38,7 @@
 // Guards against an upkeep that stops an available task though another task of its step has
 // ended: the end is not listed yet, and the run still counts as available.
 func TestRunWithUnlistedEndIsNotAvailable(t *testing.T) {
-	p := newPool(t, 2)
-	step := tasks(4, 4)
-	step.LongRunning, step.MaxUnavailable = true, 1
-	p.submit(1, "long", step)
-	p.plan()
-	p.reportAllAvailable(step.Width)
+	p, _ := newAvailablePool(t)
 	for id := range p.state.RunsOn("w01") {
 		p.observer.Observation("w01").RecordUnlistedEnds(true, []RunID{id})
 		break
