--- a/coordinator/cluster_test.go
+++ b/coordinator/cluster_test.go
@@ -315,6 +315,18 @@
 	c.callUntilOK(c.submitCall(queue, id, request), 10*time.Second)
 }
 
+func (c *cluster) cancel(queue string, id identifier.JobID) {
+	c.t.Helper()
+	c.callUntilOK(forwarder.Call{Kind: forwarder.KindCancel, Host: "h", Path: "/" + queue + "/" + string(id), Key: teamKey}, time.Second)
+}
+
+// setPartition partitions workers from all instances, or reconnects them.
+func (c *cluster) setPartition(partitioned bool, workers ...identifier.WorkerID) {
+	for _, h := range c.hosts {
+		c.workerCluster.SetPartition(h.name, workers, partitioned)
+	}
+}
+
 func (c *cluster) state(queue string, id identifier.JobID) string {
 	answer := c.call(context.Background(), forwarder.Call{Kind: forwarder.KindState, Host: "h", Path: "/" + queue + "/" + string(id), Key: teamKey})
 	if !answer.OK() {
--- a/coordinator/gang_test.go
+++ b/coordinator/gang_test.go
@@ -60,16 +60,12 @@
 			}
 			inClusterWith(t, uint64(92+i), 4, 4, setup, func(c *cluster) {
 				healAt = time.Now().Add(8 * time.Second)
-				for _, h := range c.hosts {
-					c.workerCluster.SetPartition(h.name, []identifier.WorkerID{last}, test.cutOff)
-				}
+				c.setPartition(test.cutOff, last)
 				gang := step(4, 1000, 8)
 				gang.Gang = true
 				c.submit("long", jobID(1), scheduler.Request{Spec: "s", Steps: []scheduler.Step{gang}})
 				time.Sleep(time.Until(healAt))
-				for _, h := range c.hosts {
-					c.workerCluster.SetPartition(h.name, []identifier.WorkerID{last}, false)
-				}
+				c.setPartition(false, last)
 				c.waitForState("long", jobID(1), "completed", 15*time.Second)
 				c.checkNoneAlone()
 			})
--- a/coordinator/huge_jobs_test.go
+++ b/coordinator/huge_jobs_test.go
@@ -29,7 +29,7 @@
 			t.Errorf("the refused job is %s", state)
 		}
 		for _, job := range []int{1, 2} {
-			c.callUntilOK(forwarder.Call{Kind: forwarder.KindCancel, Host: "h", Path: "/long/" + string(jobID(job)), Key: teamKey}, time.Second)
+			c.cancel("long", jobID(job))
 		}
 		time.Sleep(2 * time.Second)
 		c.submit("long", jobID(3), huge)
--- a/coordinator/lapse_test.go
+++ b/coordinator/lapse_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-	"cranberrystack.dev/cranberrystack/forwarder"
 	"cranberrystack.dev/cranberrystack/identifier"
 	"cranberrystack.dev/cranberrystack/scheduler"
 )
@@ -68,7 +67,7 @@
 		}
 		c.workerCluster.SetPartition(leader.name, workers, true)
 		for i := range jobs {
-			c.callUntilOK(forwarder.Call{Kind: forwarder.KindCancel, Host: "h", Path: "/long/" + string(jobID(i+1)), Key: teamKey}, time.Second)
+			c.cancel("long", jobID(i+1))
 			time.Sleep(30 * time.Millisecond)
 		}
 		c.lapseLease(leader, 300*time.Millisecond)
--- a/coordinator/late_start_test.go
+++ b/coordinator/late_start_test.go
@@ -66,9 +66,7 @@
 	inClusterWith(t, seed, 4, 1, setup, func(c *cluster) {
 		// The start's deadline is then far ahead on the clock of the next incarnation.
 		time.Sleep(start.age)
-		for _, h := range c.hosts {
-			c.workerCluster.SetPartition(h.name, []identifier.WorkerID{late}, true)
-		}
+		c.setPartition(true, late)
 		leader := c.waitForLeader(3 * time.Second)
 		c.submit("long", jobID(1), scheduler.Request{Spec: "s", Steps: []scheduler.Step{step(1, 60000, 1)}})
 		order := <-sent
@@ -114,9 +112,7 @@
 	}
 	inClusterWith(t, 100, 4, 1, setup, func(c *cluster) {
 		time.Sleep(time.Minute)
-		for _, h := range c.hosts {
-			c.workerCluster.SetPartition(h.name, []identifier.WorkerID{first}, true)
-		}
+		c.setPartition(true, first)
 		c.submit("long", jobID(1), scheduler.Request{Spec: "s", Steps: []scheduler.Step{step(1, 60000, 1)}})
 		order := <-late
 		c.mu.Lock()
--- a/coordinator/scenario_test.go
+++ b/coordinator/scenario_test.go
@@ -10,7 +10,6 @@
 
 	"cranberrystack.dev/cranberrystack/faker"
 	"cranberrystack.dev/cranberrystack/forwarder"
-	"cranberrystack.dev/cranberrystack/identifier"
 	"cranberrystack.dev/cranberrystack/scheduler"
 )
 
@@ -51,7 +50,7 @@
 	inCluster(t, 3, 4, 4, func(c *cluster) {
 		c.submit("long", jobID(1), scheduler.Request{Spec: "s", Steps: []scheduler.Step{step(6, 60000, 1)}})
 		time.Sleep(time.Second)
-		c.callUntilOK(forwarder.Call{Kind: forwarder.KindCancel, Host: "h", Path: "/long/" + string(jobID(1)), Key: teamKey}, time.Second)
+		c.cancel("long", jobID(1))
 		time.Sleep(time.Second)
 		stopped := 0
 		for _, event := range c.workerCluster.History() {
@@ -130,13 +129,9 @@
 		c.submit("long", jobID(1), scheduler.Request{Spec: "s", Steps: []scheduler.Step{step(1, 9000, 8)}})
 		time.Sleep(time.Second)
 		first := c.workerCluster.History()[0].Worker
-		for _, h := range c.hosts {
-			c.workerCluster.SetPartition(h.name, []identifier.WorkerID{first}, true)
-		}
+		c.setPartition(true, first)
 		time.Sleep(10 * time.Second)
-		for _, h := range c.hosts {
-			c.workerCluster.SetPartition(h.name, []identifier.WorkerID{first}, false)
-		}
+		c.setPartition(false, first)
 		c.waitForState("long", jobID(1), "completed", 20*time.Second)
 		var starts, expired int
 		for _, event := range c.workerCluster.History() {
@@ -423,14 +418,9 @@
 		c.submit("long", jobID(1), scheduler.Request{Spec: "s", Steps: []scheduler.Step{step(1, 5000, 8), next}})
 		time.Sleep(time.Second)
 		first := c.workerCluster.History()[0].Worker
-		setPartition := func(partitioned bool) {
-			for _, h := range c.hosts {
-				c.workerCluster.SetPartition(h.name, []identifier.WorkerID{first}, partitioned)
-			}
-		}
-		setPartition(true)
+		c.setPartition(true, first)
 		time.Sleep(8 * time.Second)
-		setPartition(false)
+		c.setPartition(false, first)
 		c.waitForState("long", jobID(1), "completed", 3*time.Second)
 		healed := time.Now()
 		c.submit("long", jobID(2), scheduler.Request{Spec: "s", Steps: []scheduler.Step{step(2, 300, 8)}})
--- a/coordinator/schedules_test.go
+++ b/coordinator/schedules_test.go
@@ -165,13 +165,9 @@
 		}
 	case 4:
 		workers := s.workers[:1+s.random.IntN(3)]
-		for _, other := range c.hosts {
-			c.workerCluster.SetPartition(other.name, workers, true)
-		}
+		c.setPartition(true, workers...)
 		time.Sleep(2 * span)
-		for _, other := range c.hosts {
-			c.workerCluster.SetPartition(other.name, workers, false)
-		}
+		c.setPartition(false, workers...)
 	case 5:
 		id := s.workers[s.random.IntN(len(s.workers))]
 		c.addWorker(id, scheduler.Resources{CPU: 64000, Memory: 128000, Accelerators: 8}, "r1-0")
--- a/coordinator/stale_clock_test.go
+++ b/coordinator/stale_clock_test.go
@@ -51,9 +51,7 @@
 		c.report(context.Background(), first, next, scheduler.WorkerReady)
 		close(registered)
 		order := <-late
-		for _, h := range c.hosts {
-			c.workerCluster.SetPartition(h.name, []identifier.WorkerID{first}, true)
-		}
+		c.setPartition(true, first)
 		c.mu.Lock()
 		c.workers[first].killed = true // it reports no more
 		c.mu.Unlock()
--- a/coordinator/surroundings_test.go
+++ b/coordinator/surroundings_test.go
@@ -265,7 +265,7 @@
 				t.Errorf("occurrence %d starts %v before it is due", event.Run.Task.Occurrence, early)
 			}
 		}
-		c.callUntilOK(forwarder.Call{Kind: forwarder.KindCancel, Host: "h", Path: "/long/" + string(jobID(2)), Key: teamKey}, time.Second)
+		c.cancel("long", jobID(2))
 		time.Sleep(time.Second)
 	})
 }
@@ -322,9 +322,7 @@
 		c.submit("long", jobID(1), scheduler.Request{Spec: "s", Steps: []scheduler.Step{copied}})
 		time.Sleep(time.Second)
 		first := c.workerCluster.History()[0].Worker
-		for _, h := range c.hosts {
-			c.workerCluster.SetPartition(h.name, []identifier.WorkerID{first}, true)
-		}
+		c.setPartition(true, first)
 		c.waitForState("long", jobID(1), "completed", 6*time.Second)
 	})
 }
--- a/coordinator/truncated_ends_test.go
+++ b/coordinator/truncated_ends_test.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"fmt"
 	"testing"
 	"time"
 
 	"cranberrystack.dev/cranberrystack/coordinator"
 	"cranberrystack.dev/cranberrystack/faker"
-	"cranberrystack.dev/cranberrystack/forwarder"
-	"cranberrystack.dev/cranberrystack/identifier"
 	"cranberrystack.dev/cranberrystack/scheduler"
 )
 
@@ -29,9 +26,7 @@
 		return scheduler.Request{Spec: "s", Steps: []scheduler.Step{s}}
 	}
 	crashLeader := func(c *cluster) { c.waitForLeader(time.Second).crash() }
-	cancelFirst := func(c *cluster) {
-		c.callUntilOK(forwarder.Call{Kind: forwarder.KindCancel, Host: "h", Path: "/long/" + string(jobID(1)), Key: teamKey}, time.Second)
-	}
+	cancelFirst := func(c *cluster) { c.cancel("long", jobID(1)) }
 	tests := []struct {
 		name string
 		jobs []scheduler.Request
@@ -69,12 +64,12 @@
 					c.submit("long", jobID(i+1), job)
 				}
 				time.Sleep(time.Second)
-				c.setWorkerCut("w-00", true)
+				c.setPartition(true, "w-00")
 				if test.cutOff != nil {
 					test.cutOff(c)
 				}
 				time.Sleep(1700 * time.Millisecond)
-				c.setWorkerCut("w-00", false)
+				c.setPartition(false, "w-00")
 				for i := range test.jobs {
 					c.waitForState("long", jobID(i+1), test.want, 5*time.Second)
 				}
@@ -96,11 +91,3 @@
 		})
 	}
 }
-
-// setWorkerCut cuts a worker off from all instances, or reconnects it.
-func (c *cluster) setWorkerCut(id identifier.WorkerID, cut bool) {
-	for _, h := range c.hosts {
-		c.workerCluster.SetPartition(h.name, []identifier.WorkerID{id}, cut)
-	}
-	c.logEvent(fmt.Sprintf("test-cut-%t", cut), "worker", id)
-}
