--- a/review/rig3/executor.go
+++ b/review/rig3/executor.go
@@ -19,6 +19,8 @@
 	beatTimeout  = time.Second
 	holdMax      = 6000
 	stopTime     = 200 * time.Millisecond
+	// startupTime is how long a task that lasts takes until it is at work.
+	startupTime = 300 * time.Millisecond
 	// accelerators are taken by every task: the stand-ins know no jobs.
 	accelerators = 8
 )
@@ -72,8 +74,10 @@
 	address  string
 	machine  string
 	capacity amounts
-	// work is how long each task of a spec works.
+	// work is how long each task of a spec works; 0 says that it lasts.
 	work func(spec string) time.Duration
+	// heldAt is when the last hold arrived, in nanoseconds since 1970.
+	heldAt atomic.Int64
 	// hanging lets requests wait without an answer and without an effect.
 	hanging atomic.Bool
 
@@ -335,6 +339,7 @@
 	if !ok {
 		return
 	}
+	l.executor.heldAt.Store(time.Now().UnixNano())
 	f := l.executor.farm
 	f.mu.Lock()
 	if l.fenced(o.Token) {
@@ -385,6 +390,8 @@
 		percent := 0
 		if work := l.executor.work(s.spec); work > 0 {
 			percent = int(min(99, time.Since(s.at)*100/work))
+		} else if time.Since(s.at) > startupTime {
+			percent = 100
 		}
 		running = append(running, []any{id.task, id.run, "", percent, 0})
 	}
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -14,8 +14,8 @@
 var scenarios = map[string]scenario{
 	"flap":    playFlap,
 	"pending": playPending,
-	"foreign": playForeign,
 	"reborn":  playReborn,
+	"avail":   playAvail,
 }
 
 func main() {
--- a/review/rig3/system.go
+++ b/review/rig3/system.go
@@ -37,6 +37,8 @@
 	ports     map[string]int
 	farm      *farm
 	executors []*executor
+	// guarantee is what the team is guaranteed, in accelerators.
+	guarantee int64
 }
 
 // startSystem starts the processes and waits until a gateway is ready.
@@ -175,36 +177,13 @@
 	return nil
 }
 
-// signal sends a signal to a process of the system.
-func (s *system) signal(p *process, sig syscall.Signal) {
-	s.record.note("%s gets %v", p.name, sig)
-	_ = p.command.Process.Signal(sig)
-}
-
-// leader returns the process that leads.
-func (s *system) leader() (*process, error) {
-	client := &http.Client{Timeout: 500 * time.Millisecond}
-	for limit := time.Now().Add(10 * time.Second); time.Now().Before(limit); time.Sleep(50 * time.Millisecond) {
-		for _, p := range s.cores() {
-			_, answer, err := call(client, http.MethodGet, "http://"+s.address(p, "internal")+"/status", nil, nil)
-			var status struct {
-				Leads bool `json:"rules"`
-			}
-			if err == nil && json.Unmarshal(answer, &status) == nil && status.Leads {
-				return p, nil
-			}
-		}
-	}
-	return nil, errors.New("no leader")
-}
-
 // configure sends a configuration until it is acknowledged.
 func (s *system) configure(queues []map[string]any) error {
 	document := map[string]any{
 		"version": 1, "queues": queues,
 		"pools":  []map[string]any{{"name": pool, "health-path": "/healthz", "max-connections": 64, "protocol": "h1", "tls": false, "guards-capacity": true, "standby": false}},
 		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 262144, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-		"teams":  []map[string]any{{"name": "team-a", "keys": []string{teamKey}, "priority": 1}},
+		"teams":  []map[string]any{{"name": "team-a", "keys": []string{teamKey}, "priority": 1, "guarantee": amounts{Accelerators: s.guarantee}}},
 	}
 	client := &http.Client{Timeout: time.Second}
 	for i := range 30 {
--- a/review/rig3/wire.go
+++ b/review/rig3/wire.go
@@ -39,6 +39,7 @@
 	EstimateMillis int64  `json:"estimate-ms,omitempty"`
 	NeedsLabel     string `json:"needs-label,omitempty"`
 	LongRunning    bool   `json:"long-running,omitempty"`
+	MayMiss        int    `json:"may-miss,omitempty"`
 	Checkpoints    bool   `json:"checkpoints,omitempty"`
 }
 
