--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target
-GOWORK=off go build -C review -o ../target/review-rig3 ./rig3
+CGO_ENABLED=0 GOWORK=off GOFLAGS="-buildvcs=false" go build -C review -o ../target/review-rig3 ./rig3
