--- a/review/rig3/flap.go
+++ b/review/rig3/flap.go
@@ -53,12 +53,12 @@
 	return state == "failed" && failed < 3, nil
 }
 
-// flap lets an executor go down and up by turns.
+// flap lets an executor go down and up by turns, for flapTime in all.
 func flap(e *executor) error {
 	for end := time.Now().Add(flapTime); time.Now().Before(end); {
-		time.Sleep(flapPeriod / 2)
+		time.Sleep(min(flapPeriod/2, time.Until(end)))
 		e.crash()
-		time.Sleep(flapPeriod / 2)
+		time.Sleep(min(flapPeriod/2, time.Until(end)))
 		if err := e.up(0, "kind-b", "r1-1"); err != nil {
 			return err
 		}
